--- /dev/null
+++ b/linedeal/__init__.py
@@ -0,0 +1,1 @@
+"""linedeal: places long-running jobs on a cluster's hosts."""
--- /dev/null
+++ b/linedeal/policy.py
@@ -0,0 +1,555 @@
+"""Every decision of linedeal. Make a `Controller(settings, seed, now)`, carry out what `begin()` returns, then
+feed each event to `handle(now, event)` and, once no more of that time are at hand, call `settle(now)`; carry out the
+actions they return, in order. The types are in `linedeal/interface.py`; the design is told in `docs/design.md`.
+
+Mechanisms beside the design:
+1. others' load: what others hold on a host, told from lists and probes less what this controller held then
+2. silence marks: a host that fails to answer is left alone for a while that doubles
+3. program affinity: near ties in room go to a host that holds or lately held the job's service
+4. waiting order: within a customer's share first, then by value, then by time left
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from random import Random
+from typing import Iterator
+
+from linedeal import interface as api
+from linedeal.interface import Effect, Mode, Place, Result, Why
+
+ALPHA, BETA = 1.0, 2.0      # weights of hosts in use and of tazes alone
+TAZ_AT, TURTLE_AT = 0.9, 0.75   # share of the ask in use at which a service becomes a taz, and a turtle again
+NEAR = 0.12                 # rooms this close, as a share of a host, tie
+FULL_MARK = 0.8             # seconds that a host which refused counts as full
+SILENT_MARK, SILENT_MOST = 1.0, 8.0
+PROGRAMS = 5                # services that a host is trusted to keep after their last job
+CALM_MARGIN = 0.03          # how far over the calmest offering's share cores may be planned
+MEMORY_SHARE = 0.88         # share of memory that may be planned
+UNKNOWN_USE = 0.65          # share of its ask a job is taken to use before any note
+START_WEIGHT = 0.01         # room that each start still waiting takes, as a share of a host
+LIST_LAG, PROBE_LAG = 1.5, 0.4   # age of the figures in lists and probes
+HEARD_WEIGHT = 0.5          # weight of a new figure against the old ones
+USE_WEIGHT = 0.15
+PROBE_EVERY = 1.5
+ASK_AGAIN = 1.0
+QUIET_LIST = 6.0
+LAST_MOMENT = 0.03          # seconds before a job's expiry at which waiting ends
+YOUNG_SHARE = 0.45          # of the offers a young host bears, so that two lives of a controller stay within them
+PATIENCE = 0.25             # share of an offering's expiry that a launch may take to be accepted
+PATIENCE_RUNNING = 0.7      # ... or to run, where that is what a host confirms
+
+NEVER_RAN = (Result.TURNED_AWAY, Result.UNREACHABLE, Result.UNSENT)
+ROOM, RUNS = "room", "runs"
+
+
+@dataclass(slots=True)
+class Service:
+    """What is known of a service's use, as shares of what its jobs ask."""
+
+    cores: float
+    memory: float
+    notes: int = 0
+    taz: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Track:
+    """A job in this controller's care."""
+
+    job: api.Job
+    offering: api.Offering
+    service: Service
+    life: Iterator = None
+    host: "Host" = None         # where its launch without an outcome is
+    launches: int = 0
+    risk: tuple = None          # host and time of the first launch that may have run
+    sent: float = 0.0
+    confirmed: bool = False
+    started: bool = False
+    ended: bool = False         # answered, or no answer is owed
+    cores: float = 0.0          # in use by the last note
+    memory: float = 0.0
+
+    def use(self):
+        cores = self.cores or self.job.cores * self.service.cores
+        return cores, max(self.memory, self.job.memory * self.service.memory)
+
+
+@dataclass(slots=True, eq=False)
+class Host:
+    entry: api.HostEntry
+    size: api.Kind
+    jobs: dict = field(default_factory=dict)        # launches without an outcome, by job id
+    services: dict = field(default_factory=dict)    # how many of them each service has
+    starting: int = 0                       # how many wait for their start
+    tazes: int = 0
+    own: tuple = (0.0, 0.0, 0.0, 0.0)       # cores and memory asked and used by this controller's jobs
+    past: deque = field(default_factory=deque)
+    asked: tuple = None                     # cores and memory that others' jobs ask
+    used: tuple = None                      # and use
+    full_until: float = 0.0
+    silent_until: float = 0.0
+    fails: int = 0
+    sends: deque = field(default_factory=deque)
+    programs: dict = field(default_factory=dict)
+    probed: float = 0.0
+
+    def tally(self, now):
+        asked_c = asked_m = used_c = used_m = 0.0
+        self.starting = self.tazes = 0
+        for track in self.jobs.values():
+            self.starting += not track.started
+            self.tazes += track.service.taz
+            cores, memory = track.use()
+            asked_c += track.job.cores
+            asked_m += track.job.memory
+            used_c += cores
+            used_m += memory
+        self.own = (asked_c, asked_m, used_c, used_m)
+        while self.past and self.past[0][0] < now - 6.0:
+            self.past.popleft()
+        self.past.append((now, self.own))
+
+    def own_at(self, time):
+        for at, own in reversed(self.past):
+            if at <= time:
+                return own
+        return self.past[0][1] if self.past else self.own
+
+    def holds(self, service):
+        return service in self.programs
+
+
+class Controller:
+    def __init__(self, settings, seed, now):
+        self.s = settings
+        self.random = Random(seed)
+        self.now = now
+        self.hosts = {}
+        self.tracks = {}
+        self.services = {}
+        self.waiting = {}
+        self.held = {customer: 0.0 for customer in settings.quotas}
+        self.usual = {name: Service(UNKNOWN_USE, UNKNOWN_USE + 0.15) for name in settings.offerings}
+        self.calm = min((o.calm for o in settings.offerings.values()), default=1.0) + CALM_MARGIN
+        self.heard_list = now
+        self.asks = 0
+        self.room_made = False
+        self.out = []
+
+    # -- events
+
+    def begin(self):
+        self.out = []
+        if self.s.must_ask:
+            self.ask()
+            self.timer(QUIET_LIST, "list")
+        if self.s.may_probe:
+            self.timer(PROBE_EVERY * self.random.random(), "probe")
+        return self.out
+
+    def handle(self, now, event):
+        self.now, self.out = now, []
+        match event:
+            case api.JobArrived(job):
+                self.arrived(job)
+            case api.Noted(job, _, what, value):
+                self.noted(job, what, value)
+            case api.Confirmed(job, launch, _):
+                self.confirmed(job, launch)
+            case api.Ended(job, launch, _, result, why, closed):
+                self.launch_ended(job, launch, result, why, closed)
+            case api.HostsListed(hosts, whole, remembered):
+                self.listed(hosts, whole, remembered)
+            case api.ListLost():
+                self.asks += 1
+                self.timer(min(ASK_AGAIN * 2 ** (self.asks - 1), self.s.ask_within / 2), "ask")
+            case api.JobFound(job, host):
+                self.found(job, host)
+            case api.Withdrawn(job):
+                self.withdrawn(job)
+            case api.Woken(key):
+                self.woken(key)
+            case api.Probed(host, answered, report):
+                self.probed(host, answered, report)
+        return self.out
+
+    def settle(self, now):
+        """Offers room that has come free to those who wait, in the order in which they deserve it."""
+        self.now, self.out = now, []
+        if self.room_made and self.waiting:
+            refused = set()
+            for track in sorted(self.waiting.values(), key=self.claim):
+                shape = (track.offering.name, track.job.cores, track.job.memory, track.risk,
+                         track.offering.place is Place.NONE or track.job.service)
+                if shape in refused:
+                    continue
+                host = self.choose(track)
+                if host:
+                    del self.waiting[track.job.id]
+                    self.step(track, host)
+                else:
+                    refused.add(shape)
+        self.room_made = False
+        return self.out
+
+    def timer(self, delay, key):
+        self.out.append(api.Timer(delay, key))
+
+    def track(self, job):
+        offering = self.s.offerings[job.offering]
+        service = self.services.get(job.service)
+        if service is None:
+            usual = self.usual[job.offering]
+            service = self.services[job.service] = Service(usual.cores, usual.memory)
+        track = self.tracks[job.id] = Track(job, offering, service)
+        track.life = self.life(track)
+        return track
+
+    def arrived(self, job):
+        self.step(self.track(job), None)
+
+    def found(self, job, host_id):
+        host = self.hosts.get(host_id)
+        if host is None or job.id in self.tracks:
+            return
+        track = self.track(job)
+        track.ended = track.confirmed = track.started = True
+        self.hold(track, host)
+        # it was there before: what lists and probes said of the host held it already
+        asked, used = (job.cores, job.memory), track.use()
+        host.past = deque((at, tuple(a + b for a, b in zip(own, asked + used))) for at, own in host.past)
+        if host.asked:
+            host.asked = tuple(max(0.0, a - b) for a, b in zip(host.asked, asked))
+
+    def withdrawn(self, job_id):
+        track = self.tracks.get(job_id)
+        if track and not track.ended:
+            track.ended = True
+            self.waiting.pop(job_id, None)
+            if track.host is None:
+                del self.tracks[job_id]
+
+    def woken(self, key):
+        if key == "probe":
+            self.probe_next()
+        elif key == "room":
+            self.room_made = True
+        elif key == "ask":
+            self.ask()
+        elif key == "list":
+            if self.now - self.heard_list >= QUIET_LIST:
+                self.ask()
+            self.timer(QUIET_LIST, "list")
+        else:
+            track = self.waiting.pop(key, None)
+            if track:
+                self.step(track, None)
+
+    # -- a job's life
+
+    def life(self, track):
+        """Yields ROOM until a host has room, then that host to launch there, then RUNS; returns the answer."""
+        while track.launches < self.s.max_launches:
+            host = yield ROOM
+            if host is None:
+                break
+            ended = yield host
+            if ended is None:
+                yield RUNS
+                return None
+            if track.ended:
+                return None
+            if ended not in NEVER_RAN:
+                track.risk = track.risk or (host, track.sent)
+                if track.offering.effect is Effect.IRREVERSIBLE:
+                    break
+        harmless = track.risk is None or track.offering.effect is Effect.REDOABLE
+        return api.Reject(track.job.id) if harmless else api.WriteOff(track.job.id)
+
+    def step(self, track, value):
+        """Resumes a job's life with what it waited for, and sees to what it wants next."""
+        while True:
+            try:
+                want = track.life.send(value)
+            except StopIteration as stop:
+                if stop.value:
+                    self.out.append(stop.value)
+                track.ended = True
+                if track.host is None:
+                    self.tracks.pop(track.job.id, None)
+                return
+            if want is RUNS:
+                track.ended = True
+                return
+            if want is not ROOM:
+                self.send(track, want)
+                return
+            if self.now >= track.job.expiry - LAST_MOMENT:
+                value = None
+                continue
+            value = self.choose(track)
+            if value is None:
+                self.waiting[track.job.id] = track
+                self.timer(track.job.expiry - LAST_MOMENT - self.now, track.job.id)
+                return
+
+    def claim(self, track):
+        return (self.over_share(track), -track.offering.value, track.job.expiry)
+
+    def over_share(self, track):
+        quota = self.s.quotas.get(track.job.customer)
+        return quota is not None and self.held[track.job.customer] > quota / self.s.controllers
+
+    # -- the design: filter, change in F, most room
+
+    def choose(self, track):
+        offers = []
+        for host in self.hosts.values():
+            if host.full_until <= self.now and host.silent_until <= self.now and self.allowed(track, host):
+                room = self.room(track, host)
+                if room >= 0:
+                    offers.append((self.change(track, host), room, host))
+        if not offers:
+            return None
+        least = min(offer[0] for offer in offers)
+        offers = [offer for offer in offers if offer[0] == least]
+        most = max(offer[1] for offer in offers)
+        near = [host for _, room, host in offers if room >= most - NEAR]
+        warm = [host for host in near if host.holds(track.job.service)]
+        return self.random.choice(warm or near)
+
+    def change(self, track, host):
+        change = 0.0 if host.jobs else ALPHA
+        if track.service.taz:
+            change -= BETA * ((host.tazes == 0) - (host.tazes == 1))
+        return change
+
+    def room(self, track, host):
+        """Room left beside the job, as a share of the host; below 0 where it does not fit."""
+        size = host.size
+        others_asked = host.asked or self.average("asked", size)
+        own = host.own
+        if host.used:
+            others_used = host.used
+        else:
+            usual = self.usual[track.job.offering]
+            others_used = (others_asked[0] * usual.cores, others_asked[1] * usual.memory)
+        cores, memory = track.use()
+        take = min(self.s.accepts_cores - (own[0] + others_asked[0] + track.job.cores) / size.cores,
+                   self.s.accepts_memory - (own[1] + others_asked[1] + track.job.memory) / size.memory)
+        serve = min(self.calm - (own[2] + others_used[0] + cores) / size.cores,
+                    MEMORY_SHARE - (own[3] + others_used[1] + memory) / size.memory)
+        if min(take, serve) < 0:
+            return -1.0
+        return max(0.0, min(take, serve) - START_WEIGHT * host.starting)
+
+    def average(self, what, size):
+        heard = [(h.asked, h.size) for h in self.hosts.values() if h.asked]
+        if not heard:
+            return 0.5 * size.cores, 0.5 * size.memory
+        return (sum(a[0] / s.cores for a, s in heard) / len(heard) * size.cores,
+                sum(a[1] / s.memory for a, s in heard) / len(heard) * size.memory)
+
+    # -- the gate: each send passes here, and each rule is kept here
+
+    def allowed(self, track, host):
+        entry, offering = host.entry, track.offering
+        if track.ended or track.host or self.now >= track.job.expiry - LAST_MOMENT:
+            return False
+        if entry.mode is not Mode.SERVING or (offering.kind and entry.kind != offering.kind):
+            return False
+        if track.risk:
+            first, at = track.risk
+            if offering.effect is Effect.IRREVERSIBLE:
+                return False
+            if offering.effect is Effect.LABELLED:
+                if not same_place(offering.group, first, host) or self.now >= at + offering.window - LAST_MOMENT:
+                    return False
+        if self.now < entry.booted + self.s.cold_time:
+            while host.sends and host.sends[0] <= self.now - self.s.young_span * 1.1:
+                host.sends.popleft()
+            if len(host.sends) + 1 > self.s.young_limit * YOUNG_SHARE / self.s.controllers:
+                return False
+        if offering.place is not Place.NONE:
+            there = sum(h.services.get(track.job.service, 0) for h in self.hosts.values()
+                        if same_place(offering.place, h, host))
+            if there >= offering.most:
+                return False
+        return True
+
+    def send(self, track, host):
+        if not self.allowed(track, host):
+            raise AssertionError("a send that the rules forbid")
+        share = PATIENCE_RUNNING if self.s.starts_confirmed else PATIENCE
+        left = track.job.expiry - LAST_MOMENT - self.now
+        wait = min(share * track.offering.expiry, left)
+        if track.offering.effect is Effect.IRREVERSIBLE and self.s.starts_confirmed:
+            wait = left
+        track.launches += 1
+        track.sent = self.now
+        track.started = False
+        host.sends.append(self.now)
+        if len(host.sends) > 500:
+            host.sends.popleft()
+        self.hold(track, host)
+        self.out.append(api.Launch(track.job.id, host.entry.id, wait))
+
+    def hold(self, track, host):
+        track.host = host
+        host.jobs[track.job.id] = track
+        service = track.job.service
+        host.services[service] = host.services.get(service, 0) + 1
+        host.programs.pop(service, None)
+        host.programs[service] = self.now
+        if track.job.customer in self.held:
+            self.held[track.job.customer] += track.job.cores
+        host.tally(self.now)
+
+    def release(self, track):
+        host, track.host = track.host, None
+        del host.jobs[track.job.id]
+        if track.job.customer in self.held:
+            self.held[track.job.customer] -= track.job.cores
+        host.services[track.job.service] -= 1
+        if not host.services[track.job.service]:
+            del host.services[track.job.service]
+        for service in [s for s in host.programs if s not in host.services][:-PROGRAMS]:
+            del host.programs[service]
+        host.tally(self.now)
+        self.room_made = True
+        return host
+
+    # -- what hosts answer
+
+    def confirmed(self, job_id, launch):
+        track = self.tracks.get(job_id)
+        if track is None or track.host is None or track.confirmed:
+            return
+        track.confirmed = True
+        track.started = track.started or self.s.starts_confirmed
+        track.host.fails = 0
+        if not track.ended:
+            self.step(track, None)
+
+    def launch_ended(self, job_id, launch, result, why, closed):
+        track = self.tracks.get(job_id)
+        if track is None or track.host is None:
+            return
+        host = self.release(track)
+        if result in (Result.SILENT, Result.UNREACHABLE) or result is Result.CUT and why is Why.UNTOLD:
+            self.silent(host)
+        elif result is Result.TURNED_AWAY:
+            host.fails = 0
+            host.full_until = self.now + FULL_MARK
+            self.timer(FULL_MARK, "room")
+            if not track.confirmed:
+                host.programs.pop(track.job.service, None)
+        elif why is Why.EVICTED:
+            host.full_until = self.now + FULL_MARK
+        track.ended = track.ended or closed
+        if track.ended or track.confirmed:
+            self.tracks.pop(job_id, None)
+        else:
+            self.step(track, result)
+
+    def silent(self, host):
+        if host.silent_until > self.now:
+            return
+        host.fails += 1
+        mark = min(SILENT_MARK * 2 ** (host.fails - 1), SILENT_MOST)
+        host.silent_until = self.now + mark
+        self.timer(mark, "room")
+
+    def noted(self, job_id, what, value):
+        track = self.tracks.get(job_id)
+        if track is None or track.host is None:
+            return
+        job = track.job
+        if what == "started":
+            track.started = True
+            track.host.tally(self.now)
+        elif what in ("cores", "memory"):
+            ask = getattr(job, what)
+            setattr(track, what, value)
+            for known, weight in ((track.service, USE_WEIGHT), (self.usual[job.offering], USE_WEIGHT / 10)):
+                old = getattr(known, what)
+                setattr(known, what, old + weight * (value / ask - old))
+            service = track.service
+            service.taz = service.cores >= (TURTLE_AT if service.taz else TAZ_AT)
+            track.host.tally(self.now)
+
+    def probe_next(self):
+        listed = [h for h in self.hosts.values() if h.entry.mode is not Mode.GONE]
+        if listed:
+            host = min(listed, key=lambda h: h.probed)
+            host.probed = self.now
+            self.out.append(api.Probe(host.entry.id))
+        self.timer(PROBE_EVERY / max(1, len(listed)), "probe")
+
+    def probed(self, host_id, answered, report):
+        host = self.hosts.get(host_id)
+        if host is None:
+            return
+        if not answered:
+            self.silent(host)
+            return
+        host.fails, host.silent_until = 0, min(host.silent_until, self.now)
+        if "idle_cores" in report and "idle_memory" in report:
+            own = host.own_at(self.now - PROBE_LAG)
+            host.used = blend(host.used, (host.size.cores - report["idle_cores"] - own[2],
+                                          host.size.memory - report["idle_memory"] - own[3]))
+        self.room_made = True
+
+    # -- which hosts there are
+
+    def ask(self):
+        self.heard_list = self.now
+        self.out.append(api.Subscribe())
+
+    def listed(self, entries, whole, remembered):
+        if not remembered:
+            self.asks = 0
+        self.heard_list = self.now
+        if whole:
+            named = {entry.id for entry in entries}
+            for host in self.hosts.values():
+                if host.entry.id not in named:
+                    host.entry = gone(host.entry)
+        for entry in entries:
+            self.list_one(entry)
+        for host in [h for h in self.hosts.values() if h.entry.mode is Mode.GONE and not h.jobs]:
+            del self.hosts[host.entry.id]
+        self.room_made = True
+
+    def list_one(self, entry):
+        host = self.hosts.get(entry.id)
+        if host is None:
+            host = self.hosts[entry.id] = Host(entry, self.s.kinds.get(entry.kind) or api.Kind(1.0, 1.0))
+        if entry.booted > host.entry.booted:
+            host.programs.clear()
+            host.asked = host.used = None
+        host.entry = entry
+        if entry.free_cores is not None and entry.mode is not Mode.GONE:
+            own = host.own_at(self.now - LIST_LAG)
+            host.asked = blend(host.asked, (host.size.cores - entry.free_cores - own[0],
+                                            host.size.memory - (entry.free_memory or 0.0) - own[1]))
+
+
+def gone(entry):
+    return api.HostEntry(entry.id, entry.kind, entry.zone, entry.cell, Mode.GONE, entry.booted, None, None)
+
+
+def blend(old, new):
+    new = tuple(max(0.0, value) for value in new)
+    return new if old is None else tuple(a + HEARD_WEIGHT * (b - a) for a, b in zip(old, new))
+
+
+def same_place(place, one, other):
+    if place is Place.ALL:
+        return True
+    if place is Place.ZONE:
+        return one.entry.zone == other.entry.zone
+    if place is Place.CELL:
+        return one.entry.cell == other.entry.cell
+    return one is other
