--- /dev/null
+++ b/tests/play.py
@@ -0,0 +1,165 @@
+"""Plays a scenario, a text file in this notation, against the decision module:
+
+    set KEY=VALUE ...                       settings other than the usual ones
+    offering NAME KEY=VALUE ...             an offering, or a change to one
+    host NAME KEY=VALUE ...                 how a host is listed from now on; `at T list` sends it
+    T list NAMES | more NAMES | lost        a whole list, changed entries, a failed call
+    T job ID OFFERING CORES/MEMORY SERVICE  also `found ID ... HOST` for one that runs already
+    T ok ID | started ID | use ID CORES MEMORY | end ID RESULT [WHY] [closed] | gone ID
+    T probe HOST CORES MEMORY | probe HOST -
+    T rest                                  lets time pass
+    > launch ID HOST[|HOST] | reject ID | writeoff ID | subscribe | probe HOST | nothing
+
+The lines behind > are all that was done since the line before them; probes and subscriptions count only where
+the file says `watch probe` or `watch subscribe`. Timers ring by themselves.
+"""
+
+import dataclasses
+import heapq
+
+from linedeal import interface as api
+from linedeal.policy import Controller
+
+OFFERING = api.Offering(name="web", due=1.0, expiry=6.0, value=1.0, effect=api.Effect.REDOABLE, group=api.Place.ALL,
+                        window=8.0, kind=None, priority=0, calm=1.0, fade=1.0, start_value=8.0,
+                        place=api.Place.NONE, most=2)
+SETTINGS = api.Settings(controllers=1, zone="z", offerings={}, kinds={}, quotas={}, over_share_value=0.1,
+                        accepts_cores=2.0, accepts_memory=1.5, mean_cores=1.0, mean_memory=2.0,
+                        starts_confirmed=False, makes_room=False, host_price=0.0, must_ask=True, ask_within=10.0,
+                        may_probe=False, max_launches=4, connect_timeout=0.25, cold_time=10.0, young_limit=20.0,
+                        young_span=3.0)
+HOST = api.HostEntry(id="", kind="std", zone="z", cell=0, mode=api.Mode.SERVING, booted=0.0, free_cores=10.0,
+                     free_memory=20.0)
+
+
+def changed(thing, words):
+    """The same record with KEY=VALUE words applied, each read as the type of the field.
+
+    >>> changed(HOST, ["cell=3", "mode=draining"]).cell
+    3
+    """
+    values = {}
+    for word in words:
+        key, text = word.split("=")
+        old = getattr(thing, key)
+        if isinstance(old, (api.Effect, api.Place, api.Mode)):
+            values[key] = type(old)[text.upper()]
+        elif isinstance(old, bool):
+            values[key] = text == "yes"
+        else:
+            values[key] = text if old is None or isinstance(old, str) else type(old)(float(text))
+    return dataclasses.replace(thing, **values)
+
+
+class Play:
+    def __init__(self, text):
+        self.lines = text.splitlines()
+        self.settings, self.offerings, self.listed = SETTINGS, {"web": OFFERING}, {}
+        self.kinds = {"std": api.Kind(10.0, 20.0), "big": api.Kind(20.0, 40.0)}
+        self.quotas, self.watched, self.jobs, self.where, self.timers = {}, set(), {}, {}, []
+        self.done, self.controller, self.now = [], None, 0.0
+
+    def run(self):
+        for number, line in enumerate(self.lines + ["end of file"], 1):
+            words = line.split("#")[0].split()
+            try:
+                if words and words[0] == ">":
+                    self.expect(words[1:])
+                elif words and words[0] == "end":
+                    assert not self.done, f"also did {self.done}"
+                elif words:
+                    self.line(words)
+            except AssertionError as error:
+                raise AssertionError(f"line {number}: {line.strip()}: {error}") from None
+
+    def line(self, words):
+        name, rest = words[0], words[1:]
+        if name == "set":
+            self.settings = changed(self.settings, rest)
+        elif name == "quota":
+            self.quotas[rest[0]] = float(rest[1])
+        elif name == "watch":
+            self.watched.update(rest)
+        elif name == "offering":
+            old = self.offerings.get(rest[0], dataclasses.replace(OFFERING, name=rest[0]))
+            self.offerings[rest[0]] = changed(old, rest[1:])
+        elif name == "host":
+            old = self.listed.get(rest[0], dataclasses.replace(HOST, id=rest[0]))
+            self.listed[rest[0]] = changed(old, rest[1:])
+        else:
+            assert not self.done, f"did {self.done}"
+            if self.controller is None:
+                settings = dataclasses.replace(self.settings, offerings=self.offerings, kinds=self.kinds,
+                                               quotas=self.quotas)
+                self.controller = Controller(settings, 7, 0.0)
+                self.act(self.controller.begin())
+            self.pass_time(float(name))
+            if rest[0] != "rest":
+                self.feed(self.event(*rest))
+
+    def pass_time(self, until):
+        while self.timers and self.timers[0][0] <= until:
+            self.now, _, key = heapq.heappop(self.timers)
+            self.feed(api.Woken(key))
+        self.now = until
+
+    def feed(self, event):
+        self.act(self.controller.handle(self.now, event))
+        self.act(self.controller.settle(self.now))
+
+    def event(self, name, *words):
+        if name in ("list", "more"):
+            return api.HostsListed(tuple(self.listed[word] for word in words), name == "list")
+        if name == "lost":
+            return api.ListLost()
+        if name == "probe":
+            report = {} if words[1] == "-" else {"idle_cores": float(words[1]), "idle_memory": float(words[2])}
+            return api.Probed(words[0], bool(report), report)
+        job_id = words[0]
+        if name in ("job", "found"):
+            cores, memory = words[2].split("/")
+            customer = words[4] if name == "job" and len(words) > 4 else ""
+            job = api.Job(job_id, words[1], customer, words[3], float(cores), float(memory),
+                          self.now + self.offerings[words[1]].expiry)
+            if name == "found":
+                self.where[job_id] = words[4]
+            return api.JobArrived(job) if name == "job" else api.JobFound(job, words[4])
+        host = self.where.get(job_id, "nowhere")
+        if name == "ok":
+            return api.Confirmed(job_id, 0, host)
+        if name == "started":
+            return api.Noted(job_id, host, "started", 1.0)
+        if name == "use":
+            self.feed(api.Noted(job_id, host, "cores", float(words[1])))
+            return api.Noted(job_id, host, "memory", float(words[2]))
+        if name == "end":
+            why = [word for word in words[2:] if word != "closed"]
+            return api.Ended(job_id, 0, host, api.Result[words[1].upper()],
+                             api.Why[why[0].upper()] if why else api.Why.UNTOLD, "closed" in words)
+        assert name == "gone", f"unknown word {name}"
+        return api.Withdrawn(job_id)
+
+    def act(self, actions):
+        for action in actions:
+            match action:
+                case api.Launch(job, host, wait):
+                    self.where[job] = host
+                    self.done.append(("launch", job, host))
+                case api.Reject(job):
+                    self.done.append(("reject", job))
+                case api.WriteOff(job):
+                    self.done.append(("writeoff", job))
+                case api.Timer(delay, key):
+                    heapq.heappush(self.timers, (self.now + delay, len(self.timers), key))
+                case api.Subscribe() if "subscribe" in self.watched:
+                    self.done.append(("subscribe",))
+                case api.Probe(host) if "probe" in self.watched:
+                    self.done.append(("probe", host))
+
+    def expect(self, words):
+        if words == ["nothing"]:
+            assert not self.done, f"did {self.done}"
+            return
+        assert self.done, "nothing was done"
+        did = self.done.pop(0)
+        assert len(did) == len(words) and all(a in b.split("|") for a, b in zip(did, words)), f"did {did}"
