Take notes of poor service and short memory as the host's use

Others' use is now taken at the ratio of all own jobs. Also covers outsiders' work on a host; could harm where a slow host reads as a full one for long.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -335,13 +335,9 @@
     def room(self, track, host):
         """Room left beside the job, as a share of the host; below 0 where it does not fit."""
         size = host.size
-        others_asked = host.asked or self.average("asked", size)
+        others_asked = host.asked or self.average(size)
         own = host.own
-        if host.used:
-            others_used = host.used
-        else:
-            usual = self.usual[track.job.offering]
-            others_used = (others_asked[0] * usual.cores, others_asked[1] * usual.memory)
+        others_used = host.used or self.others_use(host)
         cores, memory = track.use()
         take = min(self.s.accepts_cores - (own[0] + others_asked[0] + track.job.cores) / size.cores,
                    self.s.accepts_memory - (own[1] + others_asked[1] + track.job.memory) / size.memory)
@@ -351,7 +347,13 @@
             return -1.0
         return max(0.0, min(take, serve) - START_WEIGHT * host.starting)
 
-    def average(self, what, size):
+    def others_use(self, host):
+        """What others use of what they ask, at the ratio that this controller's own jobs show."""
+        asked = host.asked or self.average(host.size)
+        own = [sum(values) for values in zip(*(h.own for h in self.hosts.values()))]
+        return tuple(asked[i] * (own[i + 2] / own[i] if own[i] > 0 else UNKNOWN_USE) for i in (0, 1))
+
+    def average(self, size):
         heard = [(h.asked, h.size) for h in self.hosts.values() if h.asked]
         if not heard:
             return 0.5 * size.cores, 0.5 * size.memory
@@ -485,6 +487,19 @@
             service = track.service
             service.taz = service.cores >= (TURTLE_AT if service.taz else TAZ_AT)
             track.host.tally(self.now)
+        elif what in ("served", "host_memory"):
+            self.pressed(track, track.host, what, value)
+
+    def pressed(self, track, host, what, value):
+        """A host that serves poorly or runs out of memory is fuller than was thought, whoever fills it."""
+        size, own = host.size, host.own
+        cores, memory = host.used or self.others_use(host)
+        if what == "served":
+            busy = track.offering.calm + track.offering.fade * (1 - value)
+            cores = max(cores, busy * size.cores - own[2])
+        else:
+            memory = max(memory, value * size.memory - own[3])
+        host.used = (cores, memory)
 
     def probe_next(self):
         listed = [h for h in self.hosts.values() if h.entry.mode is not Mode.GONE]
@@ -541,6 +556,8 @@
             own = host.own_at(self.now - LIST_LAG)
             host.asked = blend(host.asked, (host.size.cores - entry.free_cores - own[0],
                                             host.size.memory - (entry.free_memory or 0.0) - own[1]))
+            if host.used and not self.s.may_probe:
+                host.used = blend(host.used, self.others_use(host))
 
 
 def gone(entry):
