--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -29,6 +29,7 @@
 UNKNOWN_USE = 0.65          # share of its ask a job is taken to use before any note
 START_WEIGHT = 0.01         # room that each start still waiting takes, as a share of a host
 LIST_LAG, PROBE_LAG = 1.5, 0.4   # age of the figures in lists and probes
+SPARE_HOSTS = 1.5           # hosts kept in use beyond the load where hosts in use have a price
 HEARD_WEIGHT = 0.5          # weight of a new figure against the old ones
 USE_WEIGHT = 0.15
 PROBE_EVERY = 1.5
@@ -316,6 +317,8 @@
                     offers.append((self.change(track, host), room, host))
         if not offers:
             return None
+        if self.s.host_price:
+            offers = self.fewest(offers)
         least = min(offer[0] for offer in offers)
         offers = [offer for offer in offers if offer[0] == least]
         most = max(offer[1] for offer in offers)
@@ -326,6 +329,14 @@
                 most = max(room for room, _ in tied)
                 return self.random.choice([host for room, host in tied if room >= most - NEAR])
 
+    def fewest(self, offers):
+        """Where hosts in use have a price: only the fullest that the load needs, so that the others run empty."""
+        serving = sum(host.entry.mode is Mode.SERVING for host in self.hosts.values())
+        full = serving - len(offers)
+        load = full + sum(1.0 - min(1.0, room / MEMORY_SHARE) for _, room, _ in offers)
+        needed = max(1, int(load + SPARE_HOSTS) - full)
+        return sorted(offers, key=lambda offer: offer[1])[:needed]
+
     def change(self, track, host):
         change = 0.0 if host.jobs else ALPHA
         if track.service.taz:
