--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -21,7 +21,7 @@
 TAZ_AT, TURTLE_AT = 0.9, 0.75   # share of the ask in use at which a service becomes a taz, and a turtle again
 NEAR = 0.05                 # rooms this close, as a share of a host, tie
 NEAR_WARM = 0.4             # ... and this close where the host saves the job a start without its program
-FULL_MARK = 0.8             # seconds that a host which refused counts as full
+FULL_MARK = 0.3             # seconds that a host which refused counts as full
 SILENT_MARK, SILENT_MOST = 1.0, 8.0
 PROGRAMS = 12               # services that a host is trusted to keep after their last job
 CALM_MARGIN = 0.13          # how far over the calmest offering's share cores may be planned
@@ -30,7 +30,6 @@
 START_WEIGHT = 0.01         # room that each start still waiting takes, as a share of a host
 LIST_LAG, PROBE_LAG = 1.5, 0.4   # age of the figures in lists and probes
 SPARE_HOSTS = 1.5           # hosts kept in use beyond the load where hosts in use have a price
-LARGE = 3.0                 # times the mean ask in cores from which a job is large
 HEARD_WEIGHT = 0.5          # weight of a new figure against the old ones
 USE_WEIGHT = 0.15
 PROBE_EVERY = 1.5
@@ -96,7 +95,6 @@
     sends: deque = field(default_factory=deque)
     programs: dict = field(default_factory=dict)
     probed: float = 0.0
-    kept_for: Track = None                  # the large job that waits for room here
 
     def tally(self, now):
         asked_c = asked_m = used_c = used_m = 0.0
@@ -197,7 +195,6 @@
                     self.step(track, host)
                 else:
                     refused.add(shape)
-                    self.keep_room(track)
         self.room_made = False
         return self.out
 
@@ -299,24 +296,9 @@
             value = self.choose(track)
             if value is None:
                 self.waiting[track.job.id] = track
-                self.keep_room(track)
                 self.timer(track.job.expiry - LAST_MOMENT - self.now, track.job.id)
                 return
 
-    def keep_room(self, track):
-        """A large job that waits gets a host to itself until it fits there: small ones would fill every gap."""
-        if track.job.cores < LARGE * self.s.mean_cores:
-            return
-        free = [host for host in self.hosts.values() if self.allowed(track, host) and self.open_to(track, host)]
-        if any(host.kept_for is track for host in free) or not free:
-            return
-        max(free, key=lambda host: self.room_beside(track, host)).kept_for = track
-
-    def open_to(self, track, host):
-        """Whether no other large job that still waits has this host to itself."""
-        return (host.kept_for in (None, track) or host.kept_for.job.id not in self.waiting) and max(
-            host.full_until, host.silent_until) <= self.now
-
     def claim(self, track):
         return (self.over_share(track), -track.offering.value, track.job.expiry)
 
@@ -329,7 +311,7 @@
     def choose(self, track):
         offers = []
         for host in self.hosts.values():
-            if self.open_to(track, host) and self.allowed(track, host):
+            if host.full_until <= self.now and host.silent_until <= self.now and self.allowed(track, host):
                 room = self.room(track, host)
                 if room >= 0:
                     offers.append((self.change(track, host), room, host))
@@ -363,10 +345,6 @@
 
     def room(self, track, host):
         """Room left beside the job, as a share of the host; below 0 where it does not fit."""
-        room = self.room_beside(track, host)
-        return room if room < 0 else max(0.0, room - START_WEIGHT * host.starting)
-
-    def room_beside(self, track, host):
         size = host.size
         others_asked = host.asked or self.average(size)
         own = host.own
@@ -376,7 +354,9 @@
                    self.s.accepts_memory - (own[1] + others_asked[1] + track.job.memory) / size.memory)
         serve = min(self.calm - (own[2] + others_used[0] + cores) / size.cores,
                     MEMORY_SHARE - (own[3] + others_used[1] + memory) / size.memory)
-        return min(take, serve)
+        if min(take, serve) < 0:
+            return -1.0
+        return max(0.0, min(take, serve) - START_WEIGHT * host.starting)
 
     def others_use(self, host):
         """What others use of what they ask, at the ratio that this controller's own jobs show."""
