--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -565,8 +565,8 @@
         host.entry = entry
         if entry.free_cores is not None and entry.mode is not Mode.GONE:
             own = host.own_at(self.now - LIST_LAG)
-            host.asked = blend(host.asked, (host.size.cores - entry.free_cores - own[0],
-                                            host.size.memory - (entry.free_memory or 0.0) - own[1]))
+            host.asked = blend(host.asked, (max(0.0, host.size.cores - entry.free_cores - own[0]),
+                                            max(0.0, host.size.memory - (entry.free_memory or 0.0) - own[1])))
             if host.used and not self.s.may_probe:
                 host.used = blend(host.used, self.others_use(host))
 
@@ -576,7 +576,6 @@
 
 
 def blend(old, new):
-    new = tuple(max(0.0, value) for value in new)
     return new if old is None else tuple(a + HEARD_WEIGHT * (b - a) for a, b in zip(old, new))
 
 
