Wait for a start to the end where hosts confirm only running jobs

Cause: a launch given up at 0.7 of the expiry had mostly been accepted, and its start was lost. Could harm where a host hangs in silence: its jobs are then written off instead of sent again.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -38,7 +38,6 @@
 LAST_MOMENT = 0.03          # seconds before a job's expiry at which waiting ends
 YOUNG_SHARE = 0.45          # of the offers a young host bears, so that two lives of a controller stay within them
 PATIENCE = 0.25             # share of an offering's expiry that a launch may take to be accepted
-PATIENCE_RUNNING = 0.7      # ... or to run, where that is what a host confirms
 
 NEVER_RAN = (Result.TURNED_AWAY, Result.UNREACHABLE, Result.UNSENT)
 ROOM, RUNS = "room", "runs"
@@ -401,11 +400,9 @@
     def send(self, track, host):
         if not self.allowed(track, host):
             raise AssertionError("a send that the rules forbid")
-        share = PATIENCE_RUNNING if self.s.starts_confirmed else PATIENCE
-        left = track.job.expiry - LAST_MOMENT - self.now
-        wait = min(share * track.offering.expiry, left)
-        if track.offering.effect is Effect.IRREVERSIBLE and self.s.starts_confirmed:
-            wait = left
+        wait = track.job.expiry - LAST_MOMENT - self.now
+        if not self.s.starts_confirmed:     # a start that is given up is work lost, an acceptance is cheap
+            wait = min(wait, PATIENCE * track.offering.expiry)
         track.launches += 1
         track.sent = self.now
         track.started = False
