--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -23,6 +23,7 @@
 NEAR_WARM = 0.4             # ... and this close where the host saves the job a start without its program
 FULL_MARK = 0.3             # seconds that a host which refused counts as full
 SILENT_MARK, SILENT_MOST = 1.0, 8.0
+ILL_MOST = 16.0             # seconds that a host which errs is left alone by an offering, at most
 PROGRAMS = 12               # services that a host is trusted to keep after their last job
 CALM_MARGIN = 0.13          # how far over the calmest offering's share cores may be planned
 MEMORY_SHARE = 0.96         # share of memory that may be planned
@@ -91,6 +92,7 @@
     full_until: float = 0.0
     silent_until: float = 0.0
     fails: int = 0
+    ill: dict = field(default_factory=dict) # until when it is left alone by an offering, and after how many errors
     sends: deque = field(default_factory=deque)
     programs: dict = field(default_factory=dict)
     probed: float = 0.0
@@ -308,9 +310,10 @@
     # -- the design: filter, change in F, most room
 
     def choose(self, track):
-        offers = []
+        offers, ill = [], self.ill(track.offering.name)
         for host in self.hosts.values():
-            if host.full_until <= self.now and host.silent_until <= self.now and self.allowed(track, host):
+            if (host.full_until <= self.now and host.silent_until <= self.now and host not in ill
+                    and self.allowed(track, host)):
                 room = self.room(track, host)
                 if room >= 0:
                     offers.append((self.change(track, host), room, host))
@@ -328,6 +331,11 @@
                 most = max(room for room, _ in tied)
                 return self.random.choice([host for room, host in tied if room >= most - NEAR])
 
+    def ill(self, offering):
+        """Hosts that answer an offering with errors; where all do, the fault is elsewhere and none counts as ill."""
+        ill = [host for host in self.hosts.values() if host.ill and host.ill.get(offering, (0.0,))[0] > self.now]
+        return ill if len(ill) < len(self.hosts) else []
+
     def fewest(self, offers):
         """Where hosts in use have a price: only the fullest that the load needs, so that the others run empty."""
         serving = sum(host.entry.mode is Mode.SERVING for host in self.hosts.values())
@@ -446,6 +454,8 @@
         track.confirmed = True
         track.started = track.started or self.s.starts_confirmed
         track.host.fails = 0
+        if track.host.ill:
+            track.host.ill.pop(track.offering.name, None)
         if not track.ended:
             self.step(track, None)
 
@@ -462,6 +472,13 @@
             self.timer(FULL_MARK, "room")
             if not track.confirmed:
                 host.programs.pop(track.job.service, None)
+        elif result is Result.ERROR:
+            # guards against a host that fails one kind of job fast and so always seems to have the most room;
+            # covers any fault bound to host and offering; harmful only if a fault is over long before its mark
+            count = host.ill.get(track.offering.name, (0.0, 0))[1]
+            mark = min(SILENT_MARK * 2 ** count, ILL_MOST)
+            host.ill[track.offering.name] = (self.now + mark, count + 1)
+            self.timer(mark, "room")
         elif why is Why.EVICTED:
             host.full_until = self.now + FULL_MARK
         track.ended = track.ended or closed
