--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -37,7 +37,7 @@
 ASK_AGAIN = 1.0
 QUIET_LIST = 6.0
 LAST_MOMENT = 0.03          # seconds before a job's expiry at which waiting ends
-YOUNG_SHARE = 0.45          # of the offers a young host bears, so that two lives of a controller stay within them
+YOUNG_SHARE = 0.8           # of the offers a young host bears that all controllers together may use
 PATIENCE = 0.25             # share of an offering's expiry that a launch may take to be accepted
 
 NEVER_RAN = (Result.TURNED_AWAY, Result.UNREACHABLE, Result.UNSENT)
@@ -130,7 +130,7 @@
     def __init__(self, settings, seed, now):
         self.s = settings
         self.random = Random(seed)
-        self.now = now
+        self.now = self.begun = now
         self.hosts = {}
         self.tracks = {}
         self.services = {}
@@ -150,6 +150,7 @@
         if self.s.must_ask:
             self.ask()
             self.timer(QUIET_LIST, "list")
+        self.timer(self.s.young_span, "room")
         if self.s.may_probe:
             self.timer(PROBE_EVERY * self.random.random(), "probe")
         return self.out
@@ -393,10 +394,14 @@
             if offering.effect is Effect.LABELLED:
                 if not same_place(offering.group, first, host) or self.now >= at + offering.window - LAST_MOMENT:
                     return False
-        if self.now < entry.booted + self.s.cold_time:
-            while host.sends and host.sends[0] <= self.now - self.s.young_span * 1.1:
+        if entry.booted and self.now < entry.booted + self.s.cold_time:
+            if self.now < self.begun + self.s.young_span:   # what an earlier life of ours sent there is not known
+                return False
+            part = self.s.young_limit * YOUNG_SHARE / self.s.controllers
+            span = self.s.young_span * 1.1 * max(1.0, 1.0 / part)
+            while host.sends and host.sends[0] <= self.now - span:
                 host.sends.popleft()
-            if len(host.sends) + 1 > self.s.young_limit * YOUNG_SHARE / self.s.controllers:
+            if len(host.sends) + 1 > max(1.0, part):
                 return False
         if offering.place is not Place.NONE:
             there = sum(h.services.get(track.job.service, 0) for h in self.hosts.values()
