--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -4,7 +4,7 @@
 
 Mechanisms beside the design:
 1. others' load: what others hold on a host, told from lists, probes and pressure less what we held then
-2. marks: a host that refuses, is silent, errs on an offering or serves poorly is left alone for a while
+2. marks: a host that refuses, is silent or late, errs on an offering or serves poorly is left alone for a while
 3. program affinity: near ties in room go to a host that runs or lately ran the job's service
 4. fewest hosts: where hosts in use have a price, only the fullest that the load needs are offered
 5. waiting order: within a customer's share first, then by value, then by time left
@@ -34,6 +34,7 @@
 LIST_LAG, PROBE_LAG = 1.5, 0.4   # age of the figures in lists and probes
 SPARE_HOSTS = 1.5           # hosts kept in use beyond the load where hosts in use have a price
 POOR, POOR_MARK = 0.6, 1.5  # service under which a host counts as full, and for how long
+LATE_ANSWER, ANSWER_LEAST, ANSWER_SEEN = 5.0, 0.5, 0.05     # times the usual, seconds, weight of one answer
 HEARD_WEIGHT = 0.5          # weight of a new figure against the old ones
 USE_WEIGHT = 0.15
 PROBE_EVERY = 1.5
@@ -53,8 +54,8 @@
 
     cores: float
     memory: float
-    notes: int = 0
     taz: bool = False
+    answer: float = 0.0         # seconds that hosts lately took to confirm
 
 
 @dataclass(slots=True, eq=False)
@@ -69,6 +70,7 @@
     launches: int = 0
     risk: tuple = None          # host and time of the first launch that may have run
     sent: float = 0.0
+    answer_due: float = 0.0     # when a host that is well has answered
     confirmed: bool = False
     started: bool = False
     ended: bool = False         # answered, or no answer is owed
@@ -87,6 +89,7 @@
     jobs: dict = field(default_factory=dict)        # launches without an outcome, by job id
     services: dict = field(default_factory=dict)    # how many of them each service has
     starting: int = 0                       # how many wait for their start
+    answer_due: float = float("inf")        # earliest among those not confirmed
     tazes: int = 0
     own: tuple = (0.0, 0.0, 0.0, 0.0)       # cores and memory asked and used by this controller's jobs
     past: deque = field(default_factory=deque)
@@ -103,6 +106,7 @@
     def tally(self, now):
         asked_c = asked_m = used_c = used_m = 0.0
         self.starting = self.tazes = 0
+        self.answer_due = min((t.answer_due for t in self.jobs.values() if not t.confirmed), default=float("inf"))
         for track in self.jobs.values():
             self.starting += not track.started
             self.tazes += track.service.taz
@@ -323,6 +327,9 @@
                     offers.append((self.change(track, host), room, host))
         if not offers:
             return None
+        # a late answer: the host is jammed, hung or cut off, though no launch there has failed yet; covers slow
+        # starts too; the others are filled first, which harms where one job alone is slow to answer
+        offers = [offer for offer in offers if offer[2].answer_due > self.now] or offers
         if self.s.host_price:
             offers = self.fewest(offers)
         least = min(offer[0] for offer in offers)
@@ -421,6 +428,7 @@
             wait = min(wait, PATIENCE * track.offering.expiry)
         track.launches += 1
         track.sent = self.now
+        track.answer_due = self.now + max(ANSWER_LEAST, LATE_ANSWER * self.usual[track.offering.name].answer)
         track.started = False
         host.sends.append(self.now)
         if len(host.sends) > 500:
@@ -460,6 +468,9 @@
         if track is None or track.host is None or track.confirmed:
             return
         track.confirmed = True
+        usual = self.usual[track.offering.name]
+        usual.answer += ANSWER_SEEN * (self.now - track.sent - usual.answer)
+        track.host.tally(self.now)
         track.started = track.started or self.s.starts_confirmed
         track.host.fails = 0
         if track.host.ill:
