--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -1,10 +1,10 @@
-"""Every decision of linedeal. Make a `Controller(settings, seed, now)`, carry out what `begin()` returns, then
-feed each event to `handle(now, event)` and, once no more of that time are at hand, call `settle(now)`; carry out the
-actions they return, in order. The types are in `linedeal/interface.py`; the design is told in `docs/design.md`.
+"""Every decision of linedeal. Make a `Controller(settings, seed, now)`, carry out what `begin()` returns,
+feed each event to `handle(now, event)` and, after the last of that time, call `settle(now)`; carry out the
+actions they return, in order. The types are in `linedeal/interface.py`, the design in `docs/design.md`.
 
 Mechanisms beside the design:
 1. others' load: what others hold on a host, told from lists, probes and pressure less what we held then
-2. marks: a host that refuses, is silent or late, errs on an offering or serves poorly is left alone for a while
+2. marks: a host that refuses, is silent or late, errs on an offering or serves poorly is spared a while
 3. program affinity: near ties in room go to a host that runs or lately ran the job's service
 4. fewest hosts: where hosts in use have a price, only the fullest that the load needs are offered
 5. waiting order: within a customer's share first, then by value, then by time left
@@ -45,7 +45,7 @@
 PATIENCE = 0.25             # share of an offering's expiry that a launch may take to be accepted
 
 NEVER_RAN = (Result.TURNED_AWAY, Result.UNREACHABLE, Result.UNSENT)
-ROOM, RUNS = "room", "runs"
+ROOM, RUNS, NEVER = "room", "runs", float("inf")
 
 
 @dataclass(slots=True)
@@ -89,7 +89,7 @@
     jobs: dict = field(default_factory=dict)        # launches without an outcome, by job id
     services: dict = field(default_factory=dict)    # how many of them each service has
     starting: int = 0                       # how many wait for their start
-    answer_due: float = float("inf")        # earliest among those not confirmed
+    answer_due: float = NEVER               # earliest among those not confirmed
     tazes: int = 0
     own: tuple = (0.0, 0.0, 0.0, 0.0)       # cores and memory asked and used by this controller's jobs
     past: deque = field(default_factory=deque)
@@ -98,15 +98,15 @@
     full_until: float = 0.0
     silent_until: float = 0.0
     fails: int = 0
-    ill: dict = field(default_factory=dict) # until when it is left alone by an offering, and after how many errors
-    sends: deque = field(default_factory=deque)
+    ill: dict = field(default_factory=dict) # by offering: until when, after how many errors
+    sends: deque = field(default_factory=lambda: deque(maxlen=500))
     programs: dict = field(default_factory=dict)
     probed: float = 0.0
 
     def tally(self, now):
         asked_c = asked_m = used_c = used_m = 0.0
         self.starting = self.tazes = 0
-        self.answer_due = min((t.answer_due for t in self.jobs.values() if not t.confirmed), default=float("inf"))
+        self.answer_due = min((t.answer_due for t in self.jobs.values() if not t.confirmed), default=NEVER)
         for track in self.jobs.values():
             self.starting += not track.started
             self.tazes += track.service.taz
@@ -263,7 +263,7 @@
     # -- a job's life
 
     def life(self, track):
-        """Yields ROOM until a host has room, then that host to launch there, then RUNS; returns the answer."""
+        """Yields ROOM until a host has some, then that host to launch there, then RUNS; returns the answer"""
         while track.launches < self.s.max_launches:
             host = yield ROOM
             if host is None:
@@ -327,8 +327,8 @@
                     offers.append((self.change(track, host), room, host))
         if not offers:
             return None
-        # a late answer: the host is jammed, hung or cut off, though no launch there has failed yet; covers slow
-        # starts too; the others are filled first, which harms where one job alone is slow to answer
+        # a late answer: the host is jammed, hung or cut off, though no launch there has failed yet; covers
+        # slow starts too; the others are filled first, which harms where one job alone is slow to answer
         offers = [offer for offer in offers if offer[2].answer_due > self.now] or offers
         if self.s.host_price:
             offers = self.fewest(offers)
@@ -343,12 +343,12 @@
                 return self.random.choice([host for room, host in tied if room >= most - NEAR])
 
     def ill(self, offering):
-        """Hosts that answer an offering with errors; where all do, the fault is elsewhere and none counts as ill."""
-        ill = [host for host in self.hosts.values() if host.ill and host.ill.get(offering, (0.0,))[0] > self.now]
+        """Hosts that answer an offering with errors; where all do, the fault is elsewhere and none is ill."""
+        ill = [host for host in self.hosts.values() if host.ill.get(offering, (0.0,))[0] > self.now]
         return ill if len(ill) < len(self.hosts) else []
 
     def fewest(self, offers):
-        """Where hosts in use have a price: only the fullest that the load needs, so that the others run empty."""
+        """Where hosts in use have a price: only the fullest that the load needs, so that others run empty."""
         serving = sum(host.entry.mode is Mode.SERVING for host in self.hosts.values())
         full = serving - len(offers)
         load = full + sum(1.0 - min(1.0, room / MEMORY_SHARE) for _, room, _ in offers)
@@ -402,10 +402,11 @@
             if offering.effect is Effect.IRREVERSIBLE:
                 return False
             if offering.effect is Effect.LABELLED:
-                if not same_place(offering.group, first, host) or self.now >= at + offering.window - LAST_MOMENT:
+                over = at + offering.window - LAST_MOMENT
+                if self.now >= over or not same_place(offering.group, first, host):
                     return False
         if entry.booted and self.now < entry.booted + self.s.cold_time:
-            if self.now < self.begun + self.s.young_span:   # what an earlier life of ours sent there is not known
+            if self.now < self.begun + self.s.young_span:   # an earlier life's sends there are not known
                 return False
             part = self.s.young_limit * YOUNG_SHARE / self.s.controllers
             span = self.s.young_span * 1.1 * max(1.0, 1.0 / part)
@@ -431,8 +432,6 @@
         track.answer_due = self.now + max(ANSWER_LEAST, LATE_ANSWER * self.usual[track.offering.name].answer)
         track.started = False
         host.sends.append(self.now)
-        if len(host.sends) > 500:
-            host.sends.popleft()
         self.hold(track, host)
         self.out.append(api.Launch(track.job.id, host.entry.id, wait))
 
@@ -492,8 +491,8 @@
             if not track.confirmed:
                 host.programs.pop(track.job.service, None)
         elif result is Result.ERROR:
-            # guards against a host that fails one kind of job fast and so always seems to have the most room;
-            # covers any fault bound to host and offering; harmful only if a fault is over long before its mark
+            # guards against a host that fails one kind of job fast and so seems to have the most room;
+            # covers any fault bound to host and offering; harmful if it is over long before its mark
             count = host.ill.get(track.offering.name, (0.0, 0))[1]
             mark = min(SILENT_MARK * 2 ** count, ILL_MOST)
             host.ill[track.offering.name] = (self.now + mark, count + 1)
@@ -545,8 +544,8 @@
             memory = max(memory, value * size.memory - own[3])
         host.used = (cores, memory)
         if what == "served" and value < POOR:
-            # guards against a jam that planned use does not show; covers slow and half-dead hosts too; harmful
-            # where all hosts serve poorly, since jobs then wait that would still earn a little
+            # guards against a jam that planned use does not show; covers slow and half-dead hosts too;
+            # harmful where all hosts serve poorly, since jobs then wait that would still earn a little
             host.full_until = self.now + POOR_MARK
 
     def probe_next(self):
