--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -20,7 +20,7 @@
             except AssertionError as error:
                 failed += 1
                 print(f"FAILED {path.name}: {title}: {error}")
-    for result in (doctest.testmod(play), doctest.testfile("wire.txt")):
+    for result in (doctest.testmod(play), doctest.testfile("wire.txt"), doctest.testfile("gate.txt")):
         passed += result.attempted - result.failed
         failed += result.failed
     print(f"{passed} passed, {failed} failed")
