--- a/linedeal/interface.py
+++ b/linedeal/interface.py
@@ -59,17 +59,14 @@
 @dataclass(frozen=True, slots=True)
 class Offering:
     name: str
-    due: float
     expiry: float
     value: float
     effect: Effect
     group: Place
     window: float
     kind: str | None
-    priority: int
     calm: float
     fade: float
-    start_value: float
     place: Place
     most: int
 
@@ -83,23 +80,17 @@
 @dataclass(frozen=True, slots=True)
 class Settings:
     controllers: int
-    zone: str
     offerings: dict[str, Offering]
     kinds: dict[str, Kind]
     quotas: dict[str, float]
-    over_share_value: float
     accepts_cores: float
     accepts_memory: float
-    mean_cores: float
-    mean_memory: float
     starts_confirmed: bool
-    makes_room: bool
     host_price: float
     must_ask: bool
     ask_within: float
     may_probe: bool
     max_launches: int
-    connect_timeout: float
     cold_time: float
     young_limit: float
     young_span: float
--- a/linedeal/wiresettings.py
+++ b/linedeal/wiresettings.py
@@ -46,11 +46,11 @@
     spread = get(setup, "domain.class_spread", list)
     place = PLACES.get(spread[index], api.Place.ALL) if index < len(spread) else api.Place.NONE
     return api.Offering(
-        name=get(item, "name", str), due=get(item, "on_time_ms", float) / 1000,
+        name=get(item, "name", str),
         expiry=get(item, "give_up_ms", float) / 1000, value=get(item, "worth", float), effect=effect,
         group=group, window=get(item, "window_ms", float) / 1000 if labelled else 0.0,
-        kind=kinds[kind] if 0 <= kind < len(kinds) else None, priority=int(each("class_priority")),
-        calm=each("class_calm"), fade=each("fades_over"), start_value=each("class_start_s"),
+        kind=kinds[kind] if 0 <= kind < len(kinds) else None,
+        calm=each("class_calm"), fade=each("fades_over"),
         place=place, most=int(each("spread_most")))
 
 
@@ -63,20 +63,17 @@
     customers = setup.get("projects") or []
     quotas = get(setup, "domain.quota_cores", list) if customers else []
     return api.Settings(
-        controllers=get(setup, "fleet_size", int), zone=str(setup.get("my_zone") or ""),
+        controllers=get(setup, "fleet_size", int),
         offerings={offering.name: offering for offering in offerings}, kinds=kinds,
         quotas={get(item, "name", str): number(quotas, i, "domain.quota_cores")
                 for i, item in enumerate(customers)},
-        over_share_value=get(setup, "over_share_worth", float),
         accepts_cores=get(setup, "domain.accepts_cores", float),
         accepts_memory=get(setup, "domain.admit_memory", float),
-        mean_cores=get(setup, "domain.mean_cores", float), mean_memory=get(setup, "domain.mean_memory", float),
         starts_confirmed=get(setup, "domain.confirms", str) == "running",
-        makes_room=get(setup, "domain.makes_room", bool), host_price=float((setup.get("prices") or {}).get("fleet") or 0),
+        host_price=float((setup.get("prices") or {}).get("fleet") or 0),
         must_ask=get(setup, "discovery", str) != "automatic",
         ask_within=get(setup, "rules.ask_within_ms", float) / 1000,
         may_probe=get(setup, "permissions.may_probe", bool),
         max_launches=get(setup, "permissions.max_attempts", int),
-        connect_timeout=get(setup, "permissions.connect_timeout_ms", float) / 1000,
         cold_time=get(setup, "rules.cold_ms", float) / 1000, young_limit=get(setup, "domain.young_limit", float),
         young_span=get(setup, "rules.overload_for_ms", float) / 1000)
--- a/tests/play.py
+++ b/tests/play.py
@@ -20,13 +20,13 @@
 from linedeal import interface as api
 from linedeal.policy import Controller
 
-OFFERING = api.Offering(name="web", due=1.0, expiry=6.0, value=1.0, effect=api.Effect.REDOABLE, group=api.Place.ALL,
-                        window=8.0, kind=None, priority=0, calm=1.0, fade=1.0, start_value=8.0,
+OFFERING = api.Offering(name="web", expiry=6.0, value=1.0, effect=api.Effect.REDOABLE, group=api.Place.ALL,
+                        window=8.0, kind=None, calm=1.0, fade=1.0,
                         place=api.Place.NONE, most=2)
-SETTINGS = api.Settings(controllers=1, zone="z", offerings={}, kinds={}, quotas={}, over_share_value=0.1,
-                        accepts_cores=2.0, accepts_memory=1.5, mean_cores=1.0, mean_memory=2.0,
-                        starts_confirmed=False, makes_room=False, host_price=0.0, must_ask=True, ask_within=10.0,
-                        may_probe=False, max_launches=4, connect_timeout=0.25, cold_time=10.0, young_limit=20.0,
+SETTINGS = api.Settings(controllers=1, offerings={}, kinds={}, quotas={},
+                        accepts_cores=2.0, accepts_memory=1.5,
+                        starts_confirmed=False, host_price=0.0, must_ask=True, ask_within=10.0,
+                        may_probe=False, max_launches=4, cold_time=10.0, young_limit=20.0,
                         young_span=3.0)
 HOST = api.HostEntry(id="", kind="std", zone="z", cell=0, mode=api.Mode.SERVING, booted=0.0, free_cores=10.0,
                      free_memory=20.0)
@@ -144,7 +144,7 @@
     def act(self, actions):
         for action in actions:
             match action:
-                case api.Launch(job, host, wait):
+                case api.Launch(job, host):
                     self.where[job] = host
                     self.done.append(("launch", job, host))
                 case api.Reject(job):
