--- a/linedeal/interface.py
+++ b/linedeal/interface.py
@@ -105,7 +105,6 @@
     cores: float
     memory: float
     expiry: float
-    returned: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -169,10 +169,10 @@
                 self.arrived(job)
             case api.Noted(job, _, what, value):
                 self.noted(job, what, value)
-            case api.Confirmed(job, launch, _):
-                self.confirmed(job, launch)
-            case api.Ended(job, launch, _, result, why, closed):
-                self.launch_ended(job, launch, result, why, closed)
+            case api.Confirmed(job):
+                self.confirmed(job)
+            case api.Ended(job, _, _, result, why, closed):
+                self.launch_ended(job, result, why, closed)
             case api.HostsListed(hosts, whole, remembered):
                 self.listed(hosts, whole, remembered)
             case api.ListLost():
@@ -462,7 +462,7 @@
 
     # -- what hosts answer
 
-    def confirmed(self, job_id, launch):
+    def confirmed(self, job_id):
         track = self.tracks.get(job_id)
         if track is None or track.host is None or track.confirmed:
             return
@@ -477,7 +477,7 @@
         if not track.ended:
             self.step(track, None)
 
-    def launch_ended(self, job_id, launch, result, why, closed):
+    def launch_ended(self, job_id, result, why, closed):
         track = self.tracks.get(job_id)
         if track is None or track.host is None:
             return
@@ -494,9 +494,7 @@
             # guards against a host that fails one kind of job fast and so seems to have the most room;
             # covers any fault bound to host and offering; harmful if it is over long before its mark
             count = host.ill.get(track.offering.name, (0.0, 0))[1]
-            mark = min(SILENT_MARK * 2 ** count, ILL_MOST)
-            host.ill[track.offering.name] = (self.now + mark, count + 1)
-            self.timer(mark, "room")
+            host.ill[track.offering.name] = (self.leave_alone(count, ILL_MOST), count + 1)
         elif why is Why.EVICTED:
             host.full_until = self.now + FULL_MARK
         track.ended = track.ended or closed
@@ -508,10 +506,14 @@
     def silent(self, host):
         if host.silent_until > self.now:
             return
+        host.silent_until = self.leave_alone(host.fails, SILENT_MOST)
         host.fails += 1
-        mark = min(SILENT_MARK * 2 ** (host.fails - 1), SILENT_MOST)
-        host.silent_until = self.now + mark
+
+    def leave_alone(self, count, most):
+        """Until when, after so many failures before; those who wait are looked at again then."""
+        mark = min(SILENT_MARK * 2 ** count, most)
         self.timer(mark, "room")
+        return self.now + mark
 
     def noted(self, job_id, what, value):
         track = self.tracks.get(job_id)
--- a/linedeal/wirehost.py
+++ b/linedeal/wirehost.py
@@ -76,10 +76,9 @@
             self.fatal(who, f"{type(error).__name__}: {error}")
 
     def feed(self, who, event):
-        instance = self.instances.get(who)
-        if instance is not None and event is not None:
+        if event is not None:
             self.touched[who] = True
-            self.act(who, instance.controller.handle(self.now, event))
+            self.act(who, self.instances[who].controller.handle(self.now, event))
 
     def settle(self):
         """The batch is read: every instance that had an event may still act, and the reply is complete."""
@@ -122,7 +121,7 @@
             id=need(name, f, "ticket", str), offering=need(name, f, "type", str),
             customer=str(f.get("customer") or ""), service=need(name, f, "owner_set", str),
             cores=need(name, f, "cpus", float), memory=need(name, f, "memory", float),
-            expiry=self.now + need(name, f, "grace_ms", float) / 1000, returned=bool(f.get("came_back")))
+            expiry=self.now + need(name, f, "grace_ms", float) / 1000)
 
     def on_request(self, who, f):
         return api.JobArrived(self.job("request", f))
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -12,7 +12,7 @@
 def main():
     passed, failed = 0, 0
     for path in sorted((HERE / "scenarios").glob("*.txt")):
-        for part in path.read_text().split("\n===")[0:]:
+        for part in path.read_text().split("\n==="):
             title, _, text = part.lstrip("= ").partition("\n")
             try:
                 play.Play(text).run()
--- a/tests/play.py
+++ b/tests/play.py
@@ -56,7 +56,7 @@
         self.lines = text.splitlines()
         self.settings, self.offerings, self.listed = SETTINGS, {"web": OFFERING}, {}
         self.kinds = {"std": api.Kind(10.0, 20.0), "big": api.Kind(20.0, 40.0)}
-        self.quotas, self.watched, self.jobs, self.where, self.timers = {}, set(), {}, {}, []
+        self.quotas, self.watched, self.where, self.timers = {}, set(), {}, []
         self.done, self.controller, self.now = [], None, 0.0
 
     def run(self):
