--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -37,7 +37,6 @@
 LATE_ANSWER, ANSWER_LEAST, ANSWER_SEEN = 5.0, 0.5, 0.05     # times the usual, seconds, weight of one answer
 HEARD_WEIGHT = 0.5          # weight of a new figure against the old ones
 USE_WEIGHT = 0.15
-PROBE_EVERY = 1.5
 ASK_AGAIN = 1.0
 QUIET_LIST = 6.0
 LAST_MOMENT = 0.03          # seconds before a job's expiry at which waiting ends
@@ -158,8 +157,6 @@
             self.ask()
             self.timer(QUIET_LIST, "list")
         self.timer(self.s.young_span, "room")
-        if self.s.may_probe:
-            self.timer(PROBE_EVERY * self.random.random(), "probe")
         return self.out
 
     def handle(self, now, event):
@@ -221,6 +218,8 @@
         return track
 
     def arrived(self, job):
+        if self.s.may_probe:
+            self.probe_next()
         self.step(self.track(job), None)
 
     def found(self, job, host_id):
@@ -245,9 +244,7 @@
                 del self.tracks[job_id]
 
     def woken(self, key):
-        if key == "probe":
-            self.probe_next()
-        elif key == "room":
+        if key == "room":
             self.room_made = True
         elif key == "ask":
             self.ask()
@@ -556,7 +553,6 @@
             host = min(listed, key=lambda h: h.probed)
             host.probed = self.now
             self.out.append(api.Probe(host.entry.id))
-        self.timer(PROBE_EVERY / max(1, len(listed)), "probe")
 
     def probed(self, host_id, answered, report):
         host = self.hosts.get(host_id)
