Count hosts in use by the list as holding known jobs; near ties go to a home that all controllers share

Cause: at 100 to 270 controllers each sees few jobs, so alpha tied it to its own few hosts, most room drew all controllers to the same hosts off one late list (busiest at six times the mean), and nothing told where a program is. A service's home is the host with the least mark^mark product among those within the band of most room; old figures of use give way to the list at the usual ratio after 6 s.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 from random import Random
 from typing import Iterator
+from zlib import crc32
 
 from linedeal import interface as api
 from linedeal.interface import Effect, Mode, Place, Result, Why
@@ -31,10 +32,14 @@
 MEMORY_SHARE = 0.96         # share of memory that may be planned
 UNKNOWN_USE = 0.65          # share of its ask a job is taken to use before any note
 START_WEIGHT = 0.01         # room that each start still waiting takes, as a share of a host
+PRIOR_ASK = 10.0            # cores and memory that the prior of the use ratio weighs
+USED_VALID = 6.0            # seconds that a figure of use is believed
 LIST_LAG, PROBE_LAG = 1.5, 0.4   # age of the figures in lists and probes
 SPARE_HOSTS = 1.5           # hosts kept in use beyond the load where hosts in use have a price
 POOR, POOR_MARK = 0.6, 1.5  # service under which a host counts as full, and for how long
 LATE_ANSWER, ANSWER_LEAST, ANSWER_SEEN = 5.0, 0.5, 0.05     # times the usual, seconds, weight of one answer
+IN_USE = 0.02               # share of a host's cores asked by others from which it holds known jobs
+SPREAD = 2654435761         # odd factor that scatters the marks of services and hosts
 HEARD_WEIGHT = 0.5          # weight of a new figure against the old ones
 USE_WEIGHT = 0.15
 ASK_AGAIN = 1.0
@@ -55,6 +60,7 @@
     memory: float
     taz: bool = False
     answer: float = 0.0         # seconds that hosts lately took to confirm
+    mark: int = 0               # of its name, as a host has one of its id: together they tell its homes
 
 
 @dataclass(slots=True, eq=False)
@@ -94,6 +100,7 @@
     past: deque = field(default_factory=deque)
     asked: tuple = None                     # cores and memory that others' jobs ask
     used: tuple = None                      # and use
+    used_heard: float = 0.0
     full_until: float = 0.0
     silent_until: float = 0.0
     fails: int = 0
@@ -101,6 +108,7 @@
     sends: deque = field(default_factory=lambda: deque(maxlen=500))
     programs: dict = field(default_factory=dict)
     probed: float = 0.0
+    mark: int = 0
 
     def tally(self, now):
         asked_c = asked_m = used_c = used_m = 0.0
@@ -212,7 +220,8 @@
         service = self.services.get(job.service)
         if service is None:
             usual = self.usual[job.offering]
-            service = self.services[job.service] = Service(usual.cores, usual.memory)
+            service = Service(usual.cores, usual.memory, mark=crc32(job.service.encode()))
+            self.services[job.service] = service
         track = self.tracks[job.id] = Track(job, offering, service)
         track.life = self.life(track)
         return track
@@ -316,6 +325,7 @@
 
     def choose(self, track):
         offers, ill = [], self.ill(track.offering.name)
+        self.usual_load()
         for host in self.hosts.values():
             if (host.full_until <= self.now and host.silent_until <= self.now and host not in ill
                     and self.allowed(track, host)):
@@ -332,12 +342,15 @@
         least = min(offer[0] for offer in offers)
         offers = [offer for offer in offers if offer[0] == least]
         most = max(offer[1] for offer in offers)
-        for near, warm in ((NEAR_WARM, Host.runs), (NEAR_WARM, Host.keeps), (NEAR, None)):
+        for warm in (Host.runs, Host.keeps):
             tied = [(room, host) for _, room, host in offers
-                    if room >= most - near and (warm is None or warm(host, track.job.service))]
+                    if room >= most - NEAR_WARM and warm(host, track.job.service)]
             if tied:
                 most = max(room for room, _ in tied)
                 return self.random.choice([host for room, host in tied if room >= most - NEAR])
+        mark = track.service.mark
+        return min((host for _, room, host in offers if room >= most - NEAR_WARM),
+                   key=lambda host: (mark ^ host.mark) * SPREAD & 0xffffffff)
 
     def ill(self, offering):
         """Hosts that answer an offering with errors; where all do, the fault is elsewhere and none is ill."""
@@ -353,7 +366,7 @@
         return sorted(offers, key=lambda offer: offer[1])[:needed]
 
     def change(self, track, host):
-        change = 0.0 if host.jobs else ALPHA
+        change = 0.0 if host.jobs or host.asked and host.asked[0] > IN_USE * host.size.cores else ALPHA
         if track.service.taz:
             change -= BETA * ((host.tazes == 0) - (host.tazes == 1))
         return change
@@ -361,9 +374,9 @@
     def room(self, track, host):
         """Room left beside the job, as a share of the host; below 0 where it does not fit."""
         size = host.size
-        others_asked = host.asked or self.average(size)
+        others_asked = self.others_ask(host)
         own = host.own
-        others_used = host.used or self.others_use(host)
+        others_used = self.others_use(host)
         cores, memory = track.use()
         take = min(self.s.accepts_cores - (own[0] + others_asked[0] + track.job.cores) / size.cores,
                    self.s.accepts_memory - (own[1] + others_asked[1] + track.job.memory) / size.memory)
@@ -373,18 +386,29 @@
             return -1.0
         return max(0.0, min(take, serve) - START_WEIGHT * host.starting)
 
+    def usual_load(self):
+        """Sums over all hosts, once a choice: what others ask on average, and use of what they ask."""
+        own = [PRIOR_ASK, PRIOR_ASK, PRIOR_ASK * UNKNOWN_USE, PRIOR_ASK * UNKNOWN_USE]
+        asked, heard = [0.0, 0.0], 0
+        for host in self.hosts.values():
+            if host.jobs:
+                own = [a + b for a, b in zip(own, host.own)]
+            if host.asked:
+                heard += 1
+                asked[0] += host.asked[0] / host.size.cores
+                asked[1] += host.asked[1] / host.size.memory
+        self.use_ratio = own[2] / own[0], own[3] / own[1]
+        self.mean_asked = (asked[0] / heard, asked[1] / heard) if heard else (0.5, 0.5)
+
+    def others_ask(self, host):
+        return host.asked or (self.mean_asked[0] * host.size.cores, self.mean_asked[1] * host.size.memory)
+
     def others_use(self, host):
-        """What others use of what they ask, at the ratio that this controller's own jobs show."""
-        asked = host.asked or self.average(host.size)
-        own = [sum(values) for values in zip(*(h.own for h in self.hosts.values()))]
-        return tuple(asked[i] * (own[i + 2] / own[i] if own[i] > 0 else UNKNOWN_USE) for i in (0, 1))
-
-    def average(self, size):
-        heard = [(h.asked, h.size) for h in self.hosts.values() if h.asked]
-        if not heard:
-            return 0.5 * size.cores, 0.5 * size.memory
-        return (sum(a[0] / s.cores for a, s in heard) / len(heard) * size.cores,
-                sum(a[1] / s.memory for a, s in heard) / len(heard) * size.memory)
+        """As last told; where that is old, what others ask at the ratio that this controller's own jobs show."""
+        if host.used and host.used_heard > self.now - USED_VALID:
+            return host.used
+        asked = self.others_ask(host)
+        return asked[0] * self.use_ratio[0], asked[1] * self.use_ratio[1]
 
     # -- the gate: each send passes here, and each rule is kept here
 
@@ -535,13 +559,14 @@
     def pressed(self, track, host, what, value):
         """A host that serves poorly or runs out of memory is fuller than was thought, whoever fills it."""
         size, own = host.size, host.own
-        cores, memory = host.used or self.others_use(host)
+        self.usual_load()
+        cores, memory = self.others_use(host)
         if what == "served":
             busy = track.offering.calm + track.offering.fade * (1 - value)
             cores = max(cores, busy * size.cores - own[2])
         else:
             memory = max(memory, value * size.memory - own[3])
-        host.used = (cores, memory)
+        host.used, host.used_heard = (cores, memory), self.now
         if what == "served" and value < POOR:
             # guards against a jam that planned use does not show; covers slow and half-dead hosts too;
             # harmful where all hosts serve poorly, since jobs then wait that would still earn a little
@@ -564,6 +589,7 @@
         host.fails, host.silent_until = 0, min(host.silent_until, self.now)
         if "idle_cores" in report and "idle_memory" in report:
             own = host.own_at(self.now - PROBE_LAG)
+            host.used_heard = self.now
             host.used = blend(host.used, (host.size.cores - report["idle_cores"] - own[2],
                                           host.size.memory - report["idle_memory"] - own[3]))
         self.room_made = True
@@ -592,7 +618,8 @@
     def list_one(self, entry):
         host = self.hosts.get(entry.id)
         if host is None:
-            host = self.hosts[entry.id] = Host(entry, self.s.kinds.get(entry.kind) or api.Kind(1.0, 1.0))
+            host = self.hosts[entry.id] = Host(entry, self.s.kinds.get(entry.kind) or api.Kind(1.0, 1.0),
+                                                 mark=crc32(entry.id.encode()))
         if entry.booted > host.entry.booted:
             host.programs.clear()
             host.asked = host.used = None
@@ -601,8 +628,6 @@
             own = host.own_at(self.now - LIST_LAG)
             host.asked = blend(host.asked, (max(0.0, host.size.cores - entry.free_cores - own[0]),
                                             max(0.0, host.size.memory - (entry.free_memory or 0.0) - own[1])))
-            if host.used and not self.s.may_probe:
-                host.used = blend(host.used, self.others_use(host))
 
 
 def gone(entry):
