--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -626,8 +626,9 @@
         host.entry = entry
         if entry.free_cores is not None and entry.mode is not Mode.GONE:
             own = host.own_at(self.now - LIST_LAG)
-            host.asked = blend(host.asked, (max(0.0, host.size.cores - entry.free_cores - own[0]),
-                                            max(0.0, host.size.memory - (entry.free_memory or 0.0) - own[1])))
+            # taken whole: a list may tell only of what changes, so old figures would never fade
+            host.asked = (max(0.0, host.size.cores - entry.free_cores - own[0]),
+                          max(0.0, host.size.memory - (entry.free_memory or 0.0) - own[1]))
 
 
 def gone(entry):
