--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -32,6 +32,7 @@
 MEMORY_SHARE = 0.96         # share of memory that may be planned
 UNKNOWN_USE = 0.65          # share of its ask a job is taken to use before any note
 START_WEIGHT = 0.01         # room that each start still waiting takes, as a share of a host
+LOAD_EVERY = 0.2            # seconds between sums over all hosts
 PRIOR_ASK = 10.0            # cores and memory that the prior of the use ratio weighs
 USED_VALID = 6.0            # seconds that a figure of use is believed
 LIST_LAG, PROBE_LAG = 1.5, 0.4   # age of the figures in lists and probes
@@ -61,6 +62,7 @@
     taz: bool = False
     answer: float = 0.0         # seconds that hosts lately took to confirm
     mark: int = 0               # of its name, as a host has one of its id: together they tell its homes
+    there: dict = field(default_factory=dict)   # launches without an outcome, by place of the spread
 
 
 @dataclass(slots=True, eq=False)
@@ -72,6 +74,7 @@
     service: Service
     life: Iterator = None
     host: "Host" = None         # where its launch without an outcome is
+    place: object = None        # ... and what counts it for the spread
     launches: int = 0
     risk: tuple = None          # host and time of the first launch that may have run
     sent: float = 0.0
@@ -153,6 +156,7 @@
         self.usual = {name: Service(UNKNOWN_USE, UNKNOWN_USE + 0.15) for name in settings.offerings}
         self.calm = min((o.calm for o in settings.offerings.values()), default=1.0) + CALM_MARGIN
         self.heard_list = now
+        self.load_due = now
         self.asks = 0
         self.room_made = False
         self.out = []
@@ -387,7 +391,10 @@
         return max(0.0, min(take, serve) - START_WEIGHT * host.starting)
 
     def usual_load(self):
-        """Sums over all hosts, once a choice: what others ask on average, and use of what they ask."""
+        """Sums over all hosts, now and then: what others ask on average, and use of what they ask."""
+        if self.now < self.load_due:
+            return
+        self.load_due = self.now + LOAD_EVERY
         own = [PRIOR_ASK, PRIOR_ASK, PRIOR_ASK * UNKNOWN_USE, PRIOR_ASK * UNKNOWN_USE]
         asked, heard = [0.0, 0.0], 0
         for host in self.hosts.values():
@@ -424,7 +431,7 @@
                 return False
             if offering.effect is Effect.LABELLED:
                 over = at + offering.window - LAST_MOMENT
-                if self.now >= over or not same_place(offering.group, first, host):
+                if self.now >= over or place_of(offering.group, first) != place_of(offering.group, host):
                     return False
         if entry.booted and self.now < entry.booted + self.s.cold_time:
             if self.now < self.begun + self.s.young_span:   # an earlier life's sends there are not known
@@ -436,9 +443,7 @@
             if len(host.sends) + 1 > max(1.0, part):
                 return False
         if offering.place is not Place.NONE:
-            there = sum(h.services.get(track.job.service, 0) for h in self.hosts.values()
-                        if same_place(offering.place, h, host))
-            if there >= offering.most:
+            if track.service.there.get(place_of(offering.place, host), 0) >= offering.most:
                 return False
         return True
 
@@ -457,7 +462,8 @@
         self.out.append(api.Launch(track.job.id, host.entry.id, wait))
 
     def hold(self, track, host):
-        track.host = host
+        track.host, track.place = host, place_of(track.offering.place, host)
+        track.service.there[track.place] = track.service.there.get(track.place, 0) + 1
         host.jobs[track.job.id] = track
         service = track.job.service
         host.services[service] = host.services.get(service, 0) + 1
@@ -469,6 +475,7 @@
 
     def release(self, track):
         host, track.host = track.host, None
+        track.service.there[track.place] -= 1
         del host.jobs[track.job.id]
         if track.job.customer in self.held:
             self.held[track.job.customer] -= track.job.cores
@@ -639,11 +646,13 @@
     return new if old is None else tuple(a + HEARD_WEIGHT * (b - a) for a, b in zip(old, new))
 
 
-def same_place(place, one, other):
-    if place is Place.ALL:
-        return True
-    if place is Place.ZONE:
-        return one.entry.zone == other.entry.zone
-    if place is Place.CELL:
-        return one.entry.cell == other.entry.cell
-    return one is other
+def place_of(place, host):
+    """What of a host the others in its place share."""
+    match place:
+        case Place.ALL:
+            return "all"
+        case Place.ZONE:
+            return host.entry.zone
+        case Place.CELL:
+            return host.entry.cell
+    return host.entry.id
