Most room among the two hosts that all controllers sample for a service, after those known to keep it

Replaces the hash choice within a band: candidate sampling, which the design leaves open, with the same sample at every controller; most room decides in it.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -40,6 +40,7 @@
 POOR, POOR_MARK = 0.6, 1.5  # service under which a host counts as full, and for how long
 LATE_ANSWER, ANSWER_LEAST, ANSWER_SEEN = 5.0, 0.5, 0.05     # times the usual, seconds, weight of one answer
 IN_USE = 0.02               # share of a host's cores asked by others from which it holds known jobs
+HOMES = 2                   # hosts sampled for a service, from which the one with most room is taken
 SPREAD = 2654435761         # odd factor that scatters the marks of services and hosts
 HEARD_WEIGHT = 0.5          # weight of a new figure against the old ones
 USE_WEIGHT = 0.15
@@ -347,14 +348,16 @@
         offers = [offer for offer in offers if offer[0] == least]
         most = max(offer[1] for offer in offers)
         for warm in (Host.runs, Host.keeps):
-            tied = [(room, host) for _, room, host in offers
-                    if room >= most - NEAR_WARM and warm(host, track.job.service)]
+            tied = [offer for offer in offers if offer[1] >= most - NEAR_WARM and warm(offer[2], track.job.service)]
             if tied:
-                most = max(room for room, _ in tied)
-                return self.random.choice([host for room, host in tied if room >= most - NEAR])
+                offers = tied
+                break
+        # all controllers sample the same few hosts for a service, so its program is there and no host draws all
         mark = track.service.mark
-        return min((host for _, room, host in offers if room >= most - NEAR_WARM),
-                   key=lambda host: (mark ^ host.mark) * SPREAD & 0xffffffff)
+        offers.sort(key=lambda offer: (mark ^ offer[2].mark) * SPREAD & 0xffffffff)
+        offers = offers[:HOMES]
+        most = max(offer[1] for offer in offers)
+        return self.random.choice([host for _, room, host in offers if room >= most - NEAR])
 
     def ill(self, offering):
         """Hosts that answer an offering with errors; where all do, the fault is elsewhere and none is ill."""
