Let use told by notes fade at each list, by probes after 2 s; a larger sample where there are few controllers

Two homes out of ten hosts crowd where one controller sees all; use that never fades misleads where probes are rare.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -34,7 +34,7 @@
 START_WEIGHT = 0.01         # room that each start still waiting takes, as a share of a host
 LOAD_EVERY = 0.2            # seconds between sums over all hosts
 PRIOR_ASK = 10.0            # cores and memory that the prior of the use ratio weighs
-USED_VALID = 6.0            # seconds that a figure of use is believed
+USED_VALID = 2.0            # seconds for which a probe's figure of use does not fade into what the list tells
 LIST_LAG, PROBE_LAG = 1.5, 0.4   # age of the figures in lists and probes
 SPARE_HOSTS = 1.5           # hosts kept in use beyond the load where hosts in use have a price
 POOR, POOR_MARK = 0.6, 1.5  # service under which a host counts as full, and for how long
@@ -104,7 +104,7 @@
     past: deque = field(default_factory=deque)
     asked: tuple = None                     # cores and memory that others' jobs ask
     used: tuple = None                      # and use
-    used_heard: float = 0.0
+    used_heard: float = -NEVER
     full_until: float = 0.0
     silent_until: float = 0.0
     fails: int = 0
@@ -158,6 +158,7 @@
         self.calm = min((o.calm for o in settings.offerings.values()), default=1.0) + CALM_MARGIN
         self.heard_list = now
         self.load_due = now
+        self.use_ratio, self.mean_asked = (UNKNOWN_USE, UNKNOWN_USE), (0.5, 0.5)
         self.asks = 0
         self.room_made = False
         self.out = []
@@ -355,7 +356,7 @@
         # all controllers sample the same few hosts for a service, so its program is there and no host draws all
         mark = track.service.mark
         offers.sort(key=lambda offer: (mark ^ offer[2].mark) * SPREAD & 0xffffffff)
-        offers = offers[:HOMES]
+        offers = offers[:max(HOMES, len(offers) // self.s.controllers)]
         most = max(offer[1] for offer in offers)
         return self.random.choice([host for _, room, host in offers if room >= most - NEAR])
 
@@ -415,8 +416,9 @@
 
     def others_use(self, host):
         """As last told; where that is old, what others ask at the ratio that this controller's own jobs show."""
-        if host.used and host.used_heard > self.now - USED_VALID:
-            return host.used
+        return host.used or self.told_use(host)
+
+    def told_use(self, host):
         asked = self.others_ask(host)
         return asked[0] * self.use_ratio[0], asked[1] * self.use_ratio[1]
 
@@ -576,7 +578,7 @@
             cores = max(cores, busy * size.cores - own[2])
         else:
             memory = max(memory, value * size.memory - own[3])
-        host.used, host.used_heard = (cores, memory), self.now
+        host.used = (cores, memory)
         if what == "served" and value < POOR:
             # guards against a jam that planned use does not show; covers slow and half-dead hosts too;
             # harmful where all hosts serve poorly, since jobs then wait that would still earn a little
@@ -637,6 +639,8 @@
         if entry.free_cores is not None and entry.mode is not Mode.GONE:
             own = host.own_at(self.now - LIST_LAG)
             # taken whole: a list may tell only of what changes, so old figures would never fade
+            if host.used and host.used_heard < self.now - USED_VALID:
+                host.used = blend(host.used, self.told_use(host))
             host.asked = (max(0.0, host.size.cores - entry.free_cores - own[0]),
                           max(0.0, host.size.memory - (entry.free_memory or 0.0) - own[1]))
 
