Let the full mark double with refusals in a row, up to 2.4 s, until a job is accepted there

Cause: in Riga's mass restart used hosts refused four of five launches; 0.3 s after each refusal they were tried again. Guards against hosts full beyond what the late list shows; covers throttles and queues too; harms where one slot comes free just then.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -25,6 +25,7 @@
 NEAR = 0.05                 # rooms this close, as a share of a host, tie
 NEAR_WARM = 0.4             # ... and this close where the host saves the job a start without its program
 FULL_MARK = 0.3             # seconds that a host which refused counts as full
+FULL_MOST = 2.4             # ... and at most, doubled by each further refusal in a row
 SILENT_MARK, SILENT_MOST = 1.0, 8.0
 ILL_MOST = 16.0             # seconds that a host which errs is left alone by an offering, at most
 PROGRAMS = 12               # services that a host is trusted to keep after their last job
@@ -108,6 +109,7 @@
     full_until: float = 0.0
     silent_until: float = 0.0
     fails: int = 0
+    refusals: int = 0                       # in a row
     ill: dict = field(default_factory=dict) # by offering: until when, after how many errors
     sends: deque = field(default_factory=lambda: deque(maxlen=500))
     programs: dict = field(default_factory=dict)
@@ -504,7 +506,7 @@
         usual.answer += ANSWER_SEEN * (self.now - track.sent - usual.answer)
         track.host.tally(self.now)
         track.started = track.started or self.s.starts_confirmed
-        track.host.fails = 0
+        track.host.fails = track.host.refusals = 0
         if track.host.ill:
             track.host.ill.pop(track.offering.name, None)
         if not track.ended:
@@ -519,8 +521,10 @@
             self.silent(host)
         elif result is Result.TURNED_AWAY:
             host.fails = 0
-            host.full_until = self.now + FULL_MARK
-            self.timer(FULL_MARK, "room")
+            mark = min(FULL_MARK * 2 ** host.refusals, FULL_MOST)
+            host.full_until = self.now + mark
+            host.refusals += 1
+            self.timer(mark, "room")
             if not track.confirmed:
                 host.programs.pop(track.job.service, None)
         elif result is Result.ERROR:
