Weigh the change in F among a service's two homes and the hosts known to keep it; affinity in its near ties

Cause: with the change in F weighed over all hosts first, new empty hosts stayed empty after growth and releases while hosts in use were crowded. Candidates are now sampled first (the design leaves that open) and F decides among them; only where hosts in use have a price F is weighed over all first.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -346,21 +346,21 @@
         # slow starts too; the others are filled first, which harms where one job alone is slow to answer
         offers = [offer for offer in offers if offer[2].answer_due > self.now] or offers
         if self.s.host_price:
-            offers = self.fewest(offers)
-        least = min(offer[0] for offer in offers)
-        offers = [offer for offer in offers if offer[0] == least]
-        most = max(offer[1] for offer in offers)
-        for warm in (Host.runs, Host.keeps):
-            tied = [offer for offer in offers if offer[1] >= most - NEAR_WARM and warm(offer[2], track.job.service)]
-            if tied:
-                offers = tied
-                break
-        # all controllers sample the same few hosts for a service, so its program is there and no host draws all
-        mark = track.service.mark
+            offers = least_change(self.fewest(offers))
+        # all controllers sample the same few hosts for a service, so its program is there and no host draws all;
+        # the hosts that this one knows to run or keep it are looked at besides
+        service, mark = track.job.service, track.service.mark
         offers.sort(key=lambda offer: (mark ^ offer[2].mark) * SPREAD & 0xffffffff)
-        offers = offers[:max(HOMES, len(offers) // self.s.controllers)]
+        homes = max(HOMES, len(offers) // self.s.controllers)
+        offers = offers[:homes] + [o for o in offers[homes:] if o[2].runs(service) or o[2].keeps(service)]
+        offers = least_change(offers)
         most = max(offer[1] for offer in offers)
-        return self.random.choice([host for _, room, host in offers if room >= most - NEAR])
+        for near, warm in ((NEAR_WARM, Host.runs), (NEAR_WARM, Host.keeps), (NEAR, None)):
+            tied = [(room, host) for _, room, host in offers
+                    if room >= most - near and (warm is None or warm(host, service))]
+            if tied:
+                most = max(room for room, _ in tied)
+                return self.random.choice([host for room, host in tied if room >= most - NEAR])
 
     def ill(self, offering):
         """Hosts that answer an offering with errors; where all do, the fault is elsewhere and none is ill."""
@@ -653,6 +653,11 @@
     return api.HostEntry(entry.id, entry.kind, entry.zone, entry.cell, Mode.GONE, entry.booted, None, None)
 
 
+def least_change(offers):
+    least = min(offer[0] for offer in offers)
+    return [offer for offer in offers if offer[0] == least]
+
+
 def blend(old, new):
     return new if old is None else tuple(a + HEARD_WEIGHT * (b - a) for a, b in zip(old, new))
 
