--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -460,6 +460,8 @@
         wait = track.job.expiry - LAST_MOMENT - self.now
         if not self.s.starts_confirmed:     # a start that is given up is work lost, an acceptance is cheap
             wait = min(wait, PATIENCE * track.offering.expiry)
+            if track.offering.effect is Effect.REDOABLE:
+                wait = min(wait, max(ANSWER_LEAST, LATE_ANSWER * self.usual[track.offering.name].answer))
         track.launches += 1
         track.sent = self.now
         track.answer_due = self.now + max(ANSWER_LEAST, LATE_ANSWER * self.usual[track.offering.name].answer)
