--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -39,7 +39,7 @@
 LIST_LAG, PROBE_LAG = 1.5, 0.4   # age of the figures in lists and probes
 SPARE_HOSTS = 1.5           # hosts kept in use beyond the load where hosts in use have a price
 POOR, POOR_MARK = 0.6, 1.5  # service under which a host counts as full, and for how long
-LATE_ANSWER, ANSWER_LEAST, ANSWER_SEEN = 5.0, 0.5, 0.05     # times the usual, seconds, weight of one answer
+LATE_ANSWER, ANSWER_LEAST, ANSWER_SEEN = 5.0, 0.5, 0.15     # times the usual, seconds, weight of one answer
 IN_USE = 0.02               # share of a host's cores asked by others from which it holds known jobs
 HOMES = 2                   # hosts sampled for a service, from which the one with most room is taken
 SPREAD = 2654435761         # odd factor that scatters the marks of services and hosts
@@ -504,8 +504,7 @@
         if track is None or track.host is None or track.confirmed:
             return
         track.confirmed = True
-        usual = self.usual[track.offering.name]
-        usual.answer += ANSWER_SEEN * (self.now - track.sent - usual.answer)
+        self.answered(track)
         track.host.tally(self.now)
         track.started = track.started or self.s.starts_confirmed
         track.host.fails = track.host.refusals = 0
@@ -514,11 +513,18 @@
         if not track.ended:
             self.step(track, None)
 
+    def answered(self, track):
+        """Learns how long answers take; those not waited for took so long at least."""
+        usual = self.usual[track.offering.name]
+        usual.answer += ANSWER_SEEN * (self.now - track.sent - usual.answer)
+
     def launch_ended(self, job_id, result, why, closed):
         track = self.tracks.get(job_id)
         if track is None or track.host is None:
             return
         host = self.release(track)
+        if result is Result.SILENT and not track.confirmed:
+            self.answered(track)
         if result in (Result.SILENT, Result.UNREACHABLE) or result is Result.CUT and why is Why.UNTOLD:
             self.silent(host)
         elif result is Result.TURNED_AWAY:
