--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -37,7 +37,6 @@
 PRIOR_ASK = 10.0            # cores and memory that the prior of the use ratio weighs
 USED_VALID = 2.0            # seconds for which a probe's figure of use does not fade into what the list tells
 LIST_LAG, PROBE_LAG = 1.5, 0.4   # age of the figures in lists and probes
-SPARE_HOSTS = 1.5           # hosts kept in use beyond the load where hosts in use have a price
 POOR, POOR_MARK = 0.6, 1.5  # service under which a host counts as full, and for how long
 LATE_ANSWER, ANSWER_LEAST, ANSWER_SEEN = 5.0, 0.5, 0.15     # times the usual, seconds, weight of one answer
 IN_USE = 0.02               # share of a host's cores asked by others from which it holds known jobs
@@ -97,7 +96,6 @@
     entry: api.HostEntry
     size: api.Kind
     jobs: dict = field(default_factory=dict)        # launches without an outcome, by job id
-    services: dict = field(default_factory=dict)    # how many of them each service has
     starting: int = 0                       # how many wait for their start
     answer_due: float = NEVER               # earliest among those not confirmed
     tazes: int = 0
@@ -112,7 +110,7 @@
     refusals: int = 0                       # in a row
     ill: dict = field(default_factory=dict) # by offering: until when, after how many errors
     sends: deque = field(default_factory=lambda: deque(maxlen=500))
-    programs: dict = field(default_factory=dict)
+    programs: dict = field(default_factory=dict)    # launches of each service; 0 where its program may be kept
     probed: float = 0.0
     mark: int = 0
 
@@ -139,12 +137,6 @@
                 return own
         return self.past[0][1] if self.past else self.own
 
-    def runs(self, service):
-        return service in self.services
-
-    def keeps(self, service):
-        return service in self.programs
-
 
 class Controller:
     def __init__(self, settings, seed, now):
@@ -346,35 +338,23 @@
         # slow starts too; the others are filled first, which harms where one job alone is slow to answer
         offers = [offer for offer in offers if offer[2].answer_due > self.now] or offers
         if self.s.host_price:
-            offers = least_change(self.fewest(offers))
+            offers = least_change(offers)
         # all controllers sample the same few hosts for a service, so its program is there and no host draws all;
         # the hosts that this one knows to run or keep it are looked at besides
         service, mark = track.job.service, track.service.mark
         offers.sort(key=lambda offer: (mark ^ offer[2].mark) * SPREAD & 0xffffffff)
         homes = max(HOMES, len(offers) // self.s.controllers)
-        offers = offers[:homes] + [o for o in offers[homes:] if o[2].runs(service) or o[2].keeps(service)]
-        offers = least_change(offers)
-        most = max(offer[1] for offer in offers)
-        for near, warm in ((NEAR_WARM, Host.runs), (NEAR_WARM, Host.keeps), (NEAR, None)):
-            tied = [(room, host) for _, room, host in offers
-                    if room >= most - near and (warm is None or warm(host, service))]
-            if tied:
-                most = max(room for room, _ in tied)
-                return self.random.choice([host for room, host in tied if room >= most - NEAR])
+        offers = least_change(offers[:homes] + [o for o in offers[homes:] if service in o[2].programs])
+        most = max(room for _, room, _ in offers)
+        offers = [o for o in offers if o[1] >= most - NEAR_WARM and service in o[2].programs] or offers
+        most = max(room for _, room, _ in offers)
+        return self.random.choice([host for _, room, host in offers if room >= most - NEAR])
 
     def ill(self, offering):
         """Hosts that answer an offering with errors; where all do, the fault is elsewhere and none is ill."""
         ill = [host for host in self.hosts.values() if host.ill.get(offering, (0.0,))[0] > self.now]
         return ill if len(ill) < len(self.hosts) else []
 
-    def fewest(self, offers):
-        """Where hosts in use have a price: only the fullest that the load needs, so that others run empty."""
-        serving = sum(host.entry.mode is Mode.SERVING for host in self.hosts.values())
-        full = serving - len(offers)
-        load = full + sum(1.0 - min(1.0, room / MEMORY_SHARE) for _, room, _ in offers)
-        needed = max(1, int(load + SPARE_HOSTS) - full)
-        return sorted(offers, key=lambda offer: offer[1])[:needed]
-
     def change(self, track, host):
         change = 0.0 if host.jobs or host.asked and host.asked[0] > IN_USE * host.size.cores else ALPHA
         if track.service.taz:
@@ -474,10 +454,7 @@
         track.host, track.place = host, place_of(track.offering.place, host)
         track.service.there[track.place] = track.service.there.get(track.place, 0) + 1
         host.jobs[track.job.id] = track
-        service = track.job.service
-        host.services[service] = host.services.get(service, 0) + 1
-        host.programs.pop(service, None)
-        host.programs[service] = self.now
+        host.programs[track.job.service] = host.programs.pop(track.job.service, 0) + 1
         if track.job.customer in self.held:
             self.held[track.job.customer] += track.job.cores
         host.tally(self.now)
@@ -488,10 +465,8 @@
         del host.jobs[track.job.id]
         if track.job.customer in self.held:
             self.held[track.job.customer] -= track.job.cores
-        host.services[track.job.service] -= 1
-        if not host.services[track.job.service]:
-            del host.services[track.job.service]
-        for service in [s for s in host.programs if s not in host.services][:-PROGRAMS]:
+        host.programs[track.job.service] -= 1
+        for service in [service for service, count in host.programs.items() if not count][:-PROGRAMS]:
             del host.programs[service]
         host.tally(self.now)
         self.room_made = True
@@ -527,21 +502,17 @@
             self.answered(track)
         if result in (Result.SILENT, Result.UNREACHABLE) or result is Result.CUT and why is Why.UNTOLD:
             self.silent(host)
-        elif result is Result.TURNED_AWAY:
+        elif result is Result.TURNED_AWAY or why is Why.EVICTED:
             host.fails = 0
-            mark = min(FULL_MARK * 2 ** host.refusals, FULL_MOST)
-            host.full_until = self.now + mark
+            host.full_until = self.marked(FULL_MARK, FULL_MOST, host.refusals)
             host.refusals += 1
-            self.timer(mark, "room")
-            if not track.confirmed:
+            if not track.confirmed and not host.programs.get(track.job.service):
                 host.programs.pop(track.job.service, None)
         elif result is Result.ERROR:
             # guards against a host that fails one kind of job fast and so seems to have the most room;
             # covers any fault bound to host and offering; harmful if it is over long before its mark
             count = host.ill.get(track.offering.name, (0.0, 0))[1]
-            host.ill[track.offering.name] = (self.leave_alone(count, ILL_MOST), count + 1)
-        elif why is Why.EVICTED:
-            host.full_until = self.now + FULL_MARK
+            host.ill[track.offering.name] = (self.marked(SILENT_MARK, ILL_MOST, count), count + 1)
         track.ended = track.ended or closed
         if track.ended or track.confirmed:
             self.tracks.pop(job_id, None)
@@ -551,12 +522,12 @@
     def silent(self, host):
         if host.silent_until > self.now:
             return
-        host.silent_until = self.leave_alone(host.fails, SILENT_MOST)
+        host.silent_until = self.marked(SILENT_MARK, SILENT_MOST, host.fails)
         host.fails += 1
 
-    def leave_alone(self, count, most):
+    def marked(self, mark, most, count):
         """Until when, after so many failures before; those who wait are looked at again then."""
-        mark = min(SILENT_MARK * 2 ** count, most)
+        mark = min(mark * 2 ** count, most)
         self.timer(mark, "room")
         return self.now + mark
 
@@ -594,7 +565,7 @@
         if what == "served" and value < POOR:
             # guards against a jam that planned use does not show; covers slow and half-dead hosts too;
             # harmful where all hosts serve poorly, since jobs then wait that would still earn a little
-            host.full_until = self.now + POOR_MARK
+            host.full_until = self.marked(POOR_MARK, POOR_MARK, 0)
 
     def probe_next(self):
         listed = [h for h in self.hosts.values() if h.entry.mode is not Mode.GONE]
@@ -645,7 +616,7 @@
             host = self.hosts[entry.id] = Host(entry, self.s.kinds.get(entry.kind) or api.Kind(1.0, 1.0),
                                                  mark=crc32(entry.id.encode()))
         if entry.booted > host.entry.booted:
-            host.programs.clear()
+            host.programs = {service: count for service, count in host.programs.items() if count}
             host.asked = host.used = None
         host.entry = entry
         if entry.free_cores is not None and entry.mode is not Mode.GONE:
