--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -37,6 +37,7 @@
 PRIOR_ASK = 10.0            # cores and memory that the prior of the use ratio weighs
 USED_VALID = 2.0            # seconds for which a probe's figure of use does not fade into what the list tells
 LIST_LAG, PROBE_LAG = 1.5, 0.4   # age of the figures in lists and probes
+SPARE_HOSTS = 0.75          # hosts in use beyond the load for each controller, where hosts in use have a price
 POOR, POOR_MARK = 0.6, 1.5  # service under which a host counts as full, and for how long
 LATE_ANSWER, ANSWER_LEAST, ANSWER_SEEN = 5.0, 0.5, 0.15     # times the usual, seconds, weight of one answer
 IN_USE = 0.02               # share of a host's cores asked by others from which it holds known jobs
@@ -315,11 +316,9 @@
                 return
 
     def claim(self, track):
-        return (self.over_share(track), -track.offering.value, track.job.expiry)
-
-    def over_share(self, track):
-        quota = self.s.quotas.get(track.job.customer)
-        return quota is not None and self.held[track.job.customer] > quota / self.s.controllers
+        customer = track.job.customer
+        over = customer in self.held and self.held[customer] > self.s.quotas[customer] / self.s.controllers
+        return over, -track.offering.value, track.job.expiry
 
     # -- the design: filter, change in F, most room
 
@@ -338,7 +337,7 @@
         # slow starts too; the others are filled first, which harms where one job alone is slow to answer
         offers = [offer for offer in offers if offer[2].answer_due > self.now] or offers
         if self.s.host_price:
-            offers = least_change(offers)
+            offers = least_change(self.fewest(offers))
         # all controllers sample the same few hosts for a service, so its program is there and no host draws all;
         # the hosts that this one knows to run or keep it are looked at besides
         service, mark = track.job.service, track.service.mark
@@ -355,6 +354,17 @@
         ill = [host for host in self.hosts.values() if host.ill.get(offering, (0.0,))[0] > self.now]
         return ill if len(ill) < len(self.hosts) else []
 
+    def fewest(self, offers):
+        """Where hosts in use have a price: only the fullest that the load needs, so that others run empty.
+
+        All controllers pick from late figures, so the more there are the more hosts are spared; with many, all.
+        """
+        serving = sum(host.entry.mode is Mode.SERVING for host in self.hosts.values())
+        full = serving - len(offers)
+        load = full + sum(1.0 - min(1.0, room / MEMORY_SHARE) for _, room, _ in offers)
+        needed = max(1, int(load + SPARE_HOSTS * (1 + self.s.controllers)) - full)
+        return sorted(offers, key=lambda offer: offer[1])[:needed]
+
     def change(self, track, host):
         change = 0.0 if host.jobs or host.asked and host.asked[0] > IN_USE * host.size.cores else ALPHA
         if track.service.taz:
