--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -36,7 +36,7 @@
 LOAD_EVERY = 0.2            # seconds between sums over all hosts
 PRIOR_ASK = 10.0            # cores and memory that the prior of the use ratio weighs
 USED_VALID = 2.0            # seconds for which a probe's figure of use does not fade into what the list tells
-LIST_LAG, PROBE_LAG = 1.5, 0.4   # age of the figures in lists and probes
+SPARE_HOSTS = 0.75          # hosts in use beyond the load for each controller, where hosts in use have a price
 POOR, POOR_MARK = 0.6, 1.5  # service under which a host counts as full, and for how long
 LATE_ANSWER, ANSWER_LEAST, ANSWER_SEEN = 5.0, 0.5, 0.15     # times the usual, seconds, weight of one answer
 IN_USE = 0.02               # share of a host's cores asked by others from which it holds known jobs
@@ -100,7 +100,6 @@
     answer_due: float = NEVER               # earliest among those not confirmed
     tazes: int = 0
     own: tuple = (0.0, 0.0, 0.0, 0.0)       # cores and memory asked and used by this controller's jobs
-    past: deque = field(default_factory=deque)
     asked: tuple = None                     # cores and memory that others' jobs ask
     used: tuple = None                      # and use
     used_heard: float = -NEVER
@@ -114,7 +113,7 @@
     probed: float = 0.0
     mark: int = 0
 
-    def tally(self, now):
+    def tally(self):
         asked_c = asked_m = used_c = used_m = 0.0
         self.starting = self.tazes = 0
         self.answer_due = min((t.answer_due for t in self.jobs.values() if not t.confirmed), default=NEVER)
@@ -127,15 +126,6 @@
             used_c += cores
             used_m += memory
         self.own = (asked_c, asked_m, used_c, used_m)
-        while self.past and self.past[0][0] < now - 6.0:
-            self.past.popleft()
-        self.past.append((now, self.own))
-
-    def own_at(self, time):
-        for at, own in reversed(self.past):
-            if at <= time:
-                return own
-        return self.past[0][1] if self.past else self.own
 
 
 class Controller:
@@ -239,8 +229,7 @@
         track.ended = track.confirmed = track.started = True
         self.hold(track, host)
         # it was there before: what lists and probes said of the host held it already
-        asked, used = (job.cores, job.memory), track.use()
-        host.past = deque((at, tuple(a + b for a, b in zip(own, asked + used))) for at, own in host.past)
+        asked = (job.cores, job.memory)
         if host.asked:
             host.asked = tuple(max(0.0, a - b) for a, b in zip(host.asked, asked))
 
@@ -315,11 +304,9 @@
                 return
 
     def claim(self, track):
-        return (self.over_share(track), -track.offering.value, track.job.expiry)
-
-    def over_share(self, track):
-        quota = self.s.quotas.get(track.job.customer)
-        return quota is not None and self.held[track.job.customer] > quota / self.s.controllers
+        customer = track.job.customer
+        over = customer in self.held and self.held[customer] > self.s.quotas[customer] / self.s.controllers
+        return over, -track.offering.value, track.job.expiry
 
     # -- the design: filter, change in F, most room
 
@@ -338,7 +325,7 @@
         # slow starts too; the others are filled first, which harms where one job alone is slow to answer
         offers = [offer for offer in offers if offer[2].answer_due > self.now] or offers
         if self.s.host_price:
-            offers = least_change(offers)
+            offers = least_change(self.fewest(offers))
         # all controllers sample the same few hosts for a service, so its program is there and no host draws all;
         # the hosts that this one knows to run or keep it are looked at besides
         service, mark = track.job.service, track.service.mark
@@ -355,6 +342,17 @@
         ill = [host for host in self.hosts.values() if host.ill.get(offering, (0.0,))[0] > self.now]
         return ill if len(ill) < len(self.hosts) else []
 
+    def fewest(self, offers):
+        """Where hosts in use have a price: only the fullest that the load needs, so that others run empty.
+
+        All controllers pick from late figures, so the more there are the more hosts are spared; with many, all.
+        """
+        serving = sum(host.entry.mode is Mode.SERVING for host in self.hosts.values())
+        full = serving - len(offers)
+        load = full + sum(1.0 - min(1.0, room / MEMORY_SHARE) for _, room, _ in offers)
+        needed = max(1, int(load + SPARE_HOSTS * (1 + self.s.controllers)) - full)
+        return sorted(offers, key=lambda offer: offer[1])[:needed]
+
     def change(self, track, host):
         change = 0.0 if host.jobs or host.asked and host.asked[0] > IN_USE * host.size.cores else ALPHA
         if track.service.taz:
@@ -457,7 +455,7 @@
         host.programs[track.job.service] = host.programs.pop(track.job.service, 0) + 1
         if track.job.customer in self.held:
             self.held[track.job.customer] += track.job.cores
-        host.tally(self.now)
+        host.tally()
 
     def release(self, track):
         host, track.host = track.host, None
@@ -468,7 +466,7 @@
         host.programs[track.job.service] -= 1
         for service in [service for service, count in host.programs.items() if not count][:-PROGRAMS]:
             del host.programs[service]
-        host.tally(self.now)
+        host.tally()
         self.room_made = True
         return host
 
@@ -480,7 +478,7 @@
             return
         track.confirmed = True
         self.answered(track)
-        track.host.tally(self.now)
+        track.host.tally()
         track.started = track.started or self.s.starts_confirmed
         track.host.fails = track.host.refusals = 0
         if track.host.ill:
@@ -538,7 +536,7 @@
         job = track.job
         if what == "started":
             track.started = True
-            track.host.tally(self.now)
+            track.host.tally()
         elif what in ("cores", "memory"):
             ask = getattr(job, what)
             setattr(track, what, value)
@@ -547,7 +545,7 @@
                 setattr(known, what, old + weight * (value / ask - old))
             service = track.service
             service.taz = service.cores >= (TURTLE_AT if service.taz else TAZ_AT)
-            track.host.tally(self.now)
+            track.host.tally()
         elif what in ("served", "host_memory"):
             self.pressed(track, track.host, what, value)
 
@@ -583,7 +581,7 @@
             return
         host.fails, host.silent_until = 0, min(host.silent_until, self.now)
         if "idle_cores" in report and "idle_memory" in report:
-            own = host.own_at(self.now - PROBE_LAG)
+            own = host.own
             host.used_heard = self.now
             host.used = blend(host.used, (host.size.cores - report["idle_cores"] - own[2],
                                           host.size.memory - report["idle_memory"] - own[3]))
@@ -620,7 +618,7 @@
             host.asked = host.used = None
         host.entry = entry
         if entry.free_cores is not None and entry.mode is not Mode.GONE:
-            own = host.own_at(self.now - LIST_LAG)
+            own = host.own
             # taken whole: a list may tell only of what changes, so old figures would never fade
             if host.used and host.used_heard < self.now - USED_VALID:
                 host.used = blend(host.used, self.told_use(host))
