--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -3,16 +3,16 @@
 actions they return, in order. The types are in `linedeal/interface.py`, the design in `docs/design.md`.
 
 Mechanisms beside the design:
-1. others' load: what others hold on a host, told from lists, probes and pressure less what we held then
+1. others' load: what others hold on a host, told from lists, probes and pressure less what we hold
 2. marks: a host that refuses, is silent or late, errs on an offering or serves poorly is spared a while
-3. program affinity: near ties in room go to a host that runs or lately ran the job's service
+3. homes: all controllers sample the same few hosts for a service, and near ties go to those that keep it
 4. fewest hosts: where hosts in use have a price, only the fullest that the load needs are offered
 5. waiting order: within a customer's share first, then by value, then by time left
 6. young pace: a host that has just started gets our part of what all controllers together may send
 """
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Iterator
 from zlib import crc32
@@ -36,7 +36,7 @@
 LOAD_EVERY = 0.2            # seconds between sums over all hosts
 PRIOR_ASK = 10.0            # cores and memory that the prior of the use ratio weighs
 USED_VALID = 2.0            # seconds for which a probe's figure of use does not fade into what the list tells
-SPARE_HOSTS = 0.75          # hosts in use beyond the load for each controller, where hosts in use have a price
+SPARE_HOSTS = 0.75          # hosts in use beyond the load, for each controller, where they have a price
 POOR, POOR_MARK = 0.6, 1.5  # service under which a host counts as full, and for how long
 LATE_ANSWER, ANSWER_LEAST, ANSWER_SEEN = 5.0, 0.5, 0.15     # times the usual, seconds, weight of one answer
 IN_USE = 0.02               # share of a host's cores asked by others from which it holds known jobs
@@ -109,23 +109,18 @@
     refusals: int = 0                       # in a row
     ill: dict = field(default_factory=dict) # by offering: until when, after how many errors
     sends: deque = field(default_factory=lambda: deque(maxlen=500))
-    programs: dict = field(default_factory=dict)    # launches of each service; 0 where its program may be kept
+    programs: dict = field(default_factory=dict)    # launches of each service; 0: its program may be kept
     probed: float = 0.0
     mark: int = 0
 
     def tally(self):
-        asked_c = asked_m = used_c = used_m = 0.0
-        self.starting = self.tazes = 0
-        self.answer_due = min((t.answer_due for t in self.jobs.values() if not t.confirmed), default=NEVER)
-        for track in self.jobs.values():
-            self.starting += not track.started
-            self.tazes += track.service.taz
-            cores, memory = track.use()
-            asked_c += track.job.cores
-            asked_m += track.job.memory
-            used_c += cores
-            used_m += memory
-        self.own = (asked_c, asked_m, used_c, used_m)
+        tracks = self.jobs.values()
+        self.starting = sum(not track.started for track in tracks)
+        self.tazes = sum(track.service.taz for track in tracks)
+        self.answer_due = min((track.answer_due for track in tracks if not track.confirmed), default=NEVER)
+        uses = [track.use() for track in tracks]
+        self.own = (sum(track.job.cores for track in tracks), sum(track.job.memory for track in tracks),
+                    sum(cores for cores, _ in uses), sum(memory for _, memory in uses))
 
 
 class Controller:
@@ -217,8 +212,10 @@
         return track
 
     def arrived(self, job):
-        if self.s.may_probe:
-            self.probe_next()
+        if self.s.may_probe and self.hosts:     # one probe a job, however many hosts and controllers there are
+            host = min(self.hosts.values(), key=lambda host: (host.entry.mode is Mode.GONE, host.probed))
+            host.probed = self.now
+            self.out.append(api.Probe(host.entry.id))
         self.step(self.track(job), None)
 
     def found(self, job, host_id):
@@ -228,10 +225,8 @@
         track = self.track(job)
         track.ended = track.confirmed = track.started = True
         self.hold(track, host)
-        # it was there before: what lists and probes said of the host held it already
-        asked = (job.cores, job.memory)
-        if host.asked:
-            host.asked = tuple(max(0.0, a - b) for a, b in zip(host.asked, asked))
+        if host.asked:      # it was there before: what lists said of the host held it already
+            host.asked = max(0.0, host.asked[0] - job.cores), max(0.0, host.asked[1] - job.memory)
 
     def withdrawn(self, job_id):
         track = self.tracks.get(job_id)
@@ -311,7 +306,10 @@
     # -- the design: filter, change in F, most room
 
     def choose(self, track):
-        offers, ill = [], self.ill(track.offering.name)
+        # hosts that answer an offering with errors; where all do, the fault is elsewhere and none is ill
+        offers, name = [], track.offering.name
+        ill = [host for host in self.hosts.values() if host.ill and host.ill.get(name, (0.0,))[0] > self.now]
+        ill = ill if len(ill) < len(self.hosts) else ()
         self.usual_load()
         for host in self.hosts.values():
             if (host.full_until <= self.now and host.silent_until <= self.now and host not in ill
@@ -326,8 +324,9 @@
         offers = [offer for offer in offers if offer[2].answer_due > self.now] or offers
         if self.s.host_price:
             offers = least_change(self.fewest(offers))
-        # all controllers sample the same few hosts for a service, so its program is there and no host draws all;
-        # the hosts that this one knows to run or keep it are looked at besides
+        # all controllers sample the same few hosts for a service, so its program is there and no one host draws
+        # all; those that this one knows to run or keep it are looked at besides. Covers flushes and restarts of
+        # controllers too; harms where a service's use surges: its few homes are crowded first
         service, mark = track.job.service, track.service.mark
         offers.sort(key=lambda offer: (mark ^ offer[2].mark) * SPREAD & 0xffffffff)
         homes = max(HOMES, len(offers) // self.s.controllers)
@@ -337,16 +336,8 @@
         most = max(room for _, room, _ in offers)
         return self.random.choice([host for _, room, host in offers if room >= most - NEAR])
 
-    def ill(self, offering):
-        """Hosts that answer an offering with errors; where all do, the fault is elsewhere and none is ill."""
-        ill = [host for host in self.hosts.values() if host.ill.get(offering, (0.0,))[0] > self.now]
-        return ill if len(ill) < len(self.hosts) else []
-
     def fewest(self, offers):
-        """Where hosts in use have a price: only the fullest that the load needs, so that others run empty.
-
-        All controllers pick from late figures, so the more there are the more hosts are spared; with many, all.
-        """
+        """Only the fullest that the load needs, and more the more controllers pick from late figures at once."""
         serving = sum(host.entry.mode is Mode.SERVING for host in self.hosts.values())
         full = serving - len(offers)
         load = full + sum(1.0 - min(1.0, room / MEMORY_SHARE) for _, room, _ in offers)
@@ -364,7 +355,7 @@
         size = host.size
         others_asked = self.others_ask(host)
         own = host.own
-        others_used = self.others_use(host)
+        others_used = host.used or self.others_use(host)
         cores, memory = track.use()
         take = min(self.s.accepts_cores - (own[0] + others_asked[0] + track.job.cores) / size.cores,
                    self.s.accepts_memory - (own[1] + others_asked[1] + track.job.memory) / size.memory)
@@ -379,26 +370,19 @@
         if self.now < self.load_due:
             return
         self.load_due = self.now + LOAD_EVERY
-        own = [PRIOR_ASK, PRIOR_ASK, PRIOR_ASK * UNKNOWN_USE, PRIOR_ASK * UNKNOWN_USE]
-        asked, heard = [0.0, 0.0], 0
-        for host in self.hosts.values():
-            if host.jobs:
-                own = [a + b for a, b in zip(own, host.own)]
-            if host.asked:
-                heard += 1
-                asked[0] += host.asked[0] / host.size.cores
-                asked[1] += host.asked[1] / host.size.memory
-        self.use_ratio = own[2] / own[0], own[3] / own[1]
-        self.mean_asked = (asked[0] / heard, asked[1] / heard) if heard else (0.5, 0.5)
+        hosts = self.hosts.values()
+        own = [sum(host.own[i] for host in hosts if host.jobs) for i in range(4)]
+        self.use_ratio = [(own[i + 2] + PRIOR_ASK * UNKNOWN_USE) / (own[i] + PRIOR_ASK) for i in (0, 1)]
+        heard = [host for host in hosts if host.asked]
+        if heard:
+            self.mean_asked = (sum(host.asked[0] / host.size.cores for host in heard) / len(heard),
+                               sum(host.asked[1] / host.size.memory for host in heard) / len(heard))
 
     def others_ask(self, host):
         return host.asked or (self.mean_asked[0] * host.size.cores, self.mean_asked[1] * host.size.memory)
 
     def others_use(self, host):
-        """As last told; where that is old, what others ask at the ratio that this controller's own jobs show."""
-        return host.used or self.told_use(host)
-
-    def told_use(self, host):
+        """What others use of what they ask, at the ratio that this controller's own jobs show."""
         asked = self.others_ask(host)
         return asked[0] * self.use_ratio[0], asked[1] * self.use_ratio[1]
 
@@ -553,7 +537,7 @@
         """A host that serves poorly or runs out of memory is fuller than was thought, whoever fills it."""
         size, own = host.size, host.own
         self.usual_load()
-        cores, memory = self.others_use(host)
+        cores, memory = host.used or self.others_use(host)
         if what == "served":
             busy = track.offering.calm + track.offering.fade * (1 - value)
             cores = max(cores, busy * size.cores - own[2])
@@ -565,13 +549,6 @@
             # harmful where all hosts serve poorly, since jobs then wait that would still earn a little
             host.full_until = self.marked(POOR_MARK, POOR_MARK, 0)
 
-    def probe_next(self):
-        listed = [h for h in self.hosts.values() if h.entry.mode is not Mode.GONE]
-        if listed:
-            host = min(listed, key=lambda h: h.probed)
-            host.probed = self.now
-            self.out.append(api.Probe(host.entry.id))
-
     def probed(self, host_id, answered, report):
         host = self.hosts.get(host_id)
         if host is None:
@@ -601,7 +578,7 @@
             named = {entry.id for entry in entries}
             for host in self.hosts.values():
                 if host.entry.id not in named:
-                    host.entry = gone(host.entry)
+                    host.entry = replace(host.entry, mode=Mode.GONE)
         for entry in entries:
             self.list_one(entry)
         for host in [h for h in self.hosts.values() if h.entry.mode is Mode.GONE and not h.jobs]:
@@ -621,15 +598,11 @@
             own = host.own
             # taken whole: a list may tell only of what changes, so old figures would never fade
             if host.used and host.used_heard < self.now - USED_VALID:
-                host.used = blend(host.used, self.told_use(host))
+                host.used = blend(host.used, self.others_use(host))
             host.asked = (max(0.0, host.size.cores - entry.free_cores - own[0]),
                           max(0.0, host.size.memory - (entry.free_memory or 0.0) - own[1]))
 
 
-def gone(entry):
-    return api.HostEntry(entry.id, entry.kind, entry.zone, entry.cell, Mode.GONE, entry.booted, None, None)
-
-
 def least_change(offers):
     least = min(offer[0] for offer in offers)
     return [offer for offer in offers if offer[0] == least]
@@ -641,11 +614,5 @@
 
 def place_of(place, host):
     """What of a host the others in its place share."""
-    match place:
-        case Place.ALL:
-            return "all"
-        case Place.ZONE:
-            return host.entry.zone
-        case Place.CELL:
-            return host.entry.cell
-    return host.entry.id
+    entry = host.entry
+    return {Place.ALL: "all", Place.ZONE: entry.zone, Place.CELL: entry.cell}.get(place, entry.id)
