--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -212,7 +212,7 @@
         return track
 
     def arrived(self, job):
-        if self.s.may_probe and self.hosts:     # one probe a job, however many hosts and controllers there are
+        if self.s.may_probe and self.hosts:     # one a job, however many hosts and controllers there are
             host = min(self.hosts.values(), key=lambda host: (host.entry.mode is Mode.GONE, host.probed))
             host.probed = self.now
             self.out.append(api.Probe(host.entry.id))
@@ -324,9 +324,9 @@
         offers = [offer for offer in offers if offer[2].answer_due > self.now] or offers
         if self.s.host_price:
             offers = least_change(self.fewest(offers))
-        # all controllers sample the same few hosts for a service, so its program is there and no one host draws
-        # all; those that this one knows to run or keep it are looked at besides. Covers flushes and restarts of
-        # controllers too; harms where a service's use surges: its few homes are crowded first
+        # all controllers sample the same few hosts for a service, so its program is there and no host draws all;
+        # those known to run or keep it are looked at besides. Covers lost programs and restarts of controllers
+        # too; harms where a service's use surges: its few homes are crowded first
         service, mark = track.job.service, track.service.mark
         offers.sort(key=lambda offer: (mark ^ offer[2].mark) * SPREAD & 0xffffffff)
         homes = max(HOMES, len(offers) // self.s.controllers)
@@ -337,7 +337,7 @@
         return self.random.choice([host for _, room, host in offers if room >= most - NEAR])
 
     def fewest(self, offers):
-        """Only the fullest that the load needs, and more the more controllers pick from late figures at once."""
+        """Only the fullest that the load needs; more, the more controllers pick from late figures at once."""
         serving = sum(host.entry.mode is Mode.SERVING for host in self.hosts.values())
         full = serving - len(offers)
         load = full + sum(1.0 - min(1.0, room / MEMORY_SHARE) for _, room, _ in offers)
