--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -167,6 +167,7 @@
                 self.listed(hosts, whole, remembered)
             case api.ListLost():
                 self.asks += 1
+                self.out.append(api.Log(f"list out of reach, time {self.asks} in a row"))
                 self.timer(min(ASK_AGAIN * 2 ** (self.asks - 1), self.s.ask_within / 2), "ask")
             case api.JobFound(job, host):
                 self.found(job, host)
@@ -324,8 +325,8 @@
         offers = [offer for offer in offers if offer[2].answer_due > self.now] or offers
         if self.s.host_price:
             offers = least_change(self.fewest(offers))
-        # all controllers sample the same few hosts for a service, so its program is there and no host draws all;
-        # those known to run or keep it are looked at besides. Covers lost programs and restarts of controllers
+        # all controllers sample the same few hosts for a service: its program is there and no host draws all;
+        # those known to run or keep it are looked at besides. Covers lost programs and controllers' restarts
         # too; harms where a service's use surges: its few homes are crowded first
         service, mark = track.job.service, track.service.mark
         offers.sort(key=lambda offer: (mark ^ offer[2].mark) * SPREAD & 0xffffffff)
@@ -486,15 +487,16 @@
             self.silent(host)
         elif result is Result.TURNED_AWAY or why is Why.EVICTED:
             host.fails = 0
-            host.full_until = self.marked(FULL_MARK, FULL_MOST, host.refusals)
+            host.full_until = self.marked(host, "refuses", FULL_MARK, FULL_MOST, host.refusals)
             host.refusals += 1
             if not track.confirmed and not host.programs.get(track.job.service):
                 host.programs.pop(track.job.service, None)
         elif result is Result.ERROR:
             # guards against a host that fails one kind of job fast and so seems to have the most room;
             # covers any fault bound to host and offering; harmful if it is over long before its mark
-            count = host.ill.get(track.offering.name, (0.0, 0))[1]
-            host.ill[track.offering.name] = (self.marked(SILENT_MARK, ILL_MOST, count), count + 1)
+            name = track.offering.name
+            count = host.ill.get(name, (0.0, 0))[1]
+            host.ill[name] = (self.marked(host, f"errs on {name}", SILENT_MARK, ILL_MOST, count), count + 1)
         track.ended = track.ended or closed
         if track.ended or track.confirmed:
             self.tracks.pop(job_id, None)
@@ -504,11 +506,13 @@
     def silent(self, host):
         if host.silent_until > self.now:
             return
-        host.silent_until = self.marked(SILENT_MARK, SILENT_MOST, host.fails)
+        host.silent_until = self.marked(host, "gives no answer", SILENT_MARK, SILENT_MOST, host.fails)
         host.fails += 1
 
-    def marked(self, mark, most, count):
+    def marked(self, host, what, mark, most, count):
         """Until when, after so many failures before; those who wait are looked at again then."""
+        if count == 1:
+            self.out.append(api.Log(f"{host.entry.id} {what}, twice in a row"))
         mark = min(mark * 2 ** count, most)
         self.timer(mark, "room")
         return self.now + mark
@@ -547,7 +551,7 @@
         if what == "served" and value < POOR:
             # guards against a jam that planned use does not show; covers slow and half-dead hosts too;
             # harmful where all hosts serve poorly, since jobs then wait that would still earn a little
-            host.full_until = self.marked(POOR_MARK, POOR_MARK, 0)
+            host.full_until = self.marked(host, "serves poorly", POOR_MARK, POOR_MARK, 0)
 
     def probed(self, host_id, answered, report):
         host = self.hosts.get(host_id)
--- a/tests/play.py
+++ b/tests/play.py
@@ -3,12 +3,13 @@
     set KEY=VALUE ...                       settings other than the usual ones
     offering NAME KEY=VALUE ...             an offering, or a change to one
     host NAME KEY=VALUE ...                 how a host is listed from now on; `at T list` sends it
+    fleet N                                 hosts h0, h1 ... likewise; `T list *` names all hosts so far
     T list NAMES | more NAMES | lost        a whole list, changed entries, a failed call
     T job ID OFFERING CORES/MEMORY SERVICE  also `found ID ... HOST` for one that runs already
     T ok ID | started ID | use ID CORES MEMORY | served ID SHARE | end ID RESULT [WHY] [closed] | gone ID
     T probe HOST CORES MEMORY | probe HOST -
     T rest                                  lets time pass
-    > launch ID HOST[|HOST] | reject ID | writeoff ID | subscribe | probe HOST | nothing
+    > launch ID HOST[|HOST] or * | reject ID | writeoff ID | subscribe | probe HOST | nothing
 
 The lines behind > are all that was done since the line before them; probes and subscriptions count only where
 the file says `watch probe` or `watch subscribe`. Timers ring by themselves.
@@ -33,11 +34,7 @@
 
 
 def changed(thing, words):
-    """The same record with KEY=VALUE words applied, each read as the type of the field.
-
-    >>> changed(HOST, ["cell=3", "mode=draining"]).cell
-    3
-    """
+    """The same record with KEY=VALUE words applied, each read as the type of the field."""
     values = {}
     for word in words:
         key, text = word.split("=")
@@ -52,8 +49,8 @@
 
 
 class Play:
-    def __init__(self, text):
-        self.lines = text.splitlines()
+    def __init__(self, text, seed=7):
+        self.lines, self.seed = text.splitlines(), seed
         self.settings, self.offerings, self.listed = SETTINGS, {"web": OFFERING}, {}
         self.kinds = {"std": api.Kind(10.0, 20.0), "big": api.Kind(20.0, 40.0)}
         self.quotas, self.watched, self.where, self.timers = {}, set(), {}, []
@@ -86,12 +83,15 @@
         elif name == "host":
             old = self.listed.get(rest[0], dataclasses.replace(HOST, id=rest[0]))
             self.listed[rest[0]] = changed(old, rest[1:])
+        elif name == "fleet":
+            for number in range(int(rest[0])):
+                self.line(["host", f"h{number}"])
         else:
             assert not self.done, f"did {self.done}"
             if self.controller is None:
                 settings = dataclasses.replace(self.settings, offerings=self.offerings, kinds=self.kinds,
                                                quotas=self.quotas)
-                self.controller = Controller(settings, 7, 0.0)
+                self.controller = Controller(settings, self.seed, 0.0)
                 self.act(self.controller.begin())
             self.pass_time(float(name))
             if rest[0] != "rest":
@@ -109,7 +109,8 @@
 
     def event(self, name, *words):
         if name in ("list", "more"):
-            return api.HostsListed(tuple(self.listed[word] for word in words), name == "list")
+            names = self.listed if words == ("*",) else words
+            return api.HostsListed(tuple(self.listed[word] for word in names), name == "list")
         if name == "lost":
             return api.ListLost()
         if name == "probe":
@@ -164,4 +165,4 @@
             return
         assert self.done, "nothing was done"
         did = self.done.pop(0)
-        assert len(did) == len(words) and all(a in b.split("|") for a, b in zip(did, words)), f"did {did}"
+        assert len(did) == len(words) and all(b == "*" or a in b.split("|") for a, b in zip(did, words)), f"did {did}"
