Offer hosts 0.06 more than the late list says they accept

Cause: the list is seconds old and jobs end all the time; a refusal costs less than a wait. Guards against waiting for room that is there; covers any late list; harms where every refusal is priced high.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -34,6 +34,7 @@
 UNKNOWN_USE = 0.65          # share of its ask a job is taken to use before any note
 START_WEIGHT = 0.01         # room that each start still waiting takes, as a share of a host
 LOAD_EVERY = 0.2            # seconds between sums over all hosts
+LATE_LIST = 0.06            # share of a host that may have come free since the list was made
 PRIOR_ASK = 10.0            # cores and memory that the prior of the use ratio weighs
 USED_VALID = 2.0            # seconds for which a probe's figure of use does not fade into what the list tells
 SPARE_HOSTS = 0.75          # hosts in use beyond the load, for each controller, where they have a price
@@ -362,9 +363,8 @@
                    self.s.accepts_memory - (own[1] + others_asked[1] + track.job.memory) / size.memory)
         serve = min(self.calm - (own[2] + others_used[0] + cores) / size.cores,
                     MEMORY_SHARE - (own[3] + others_used[1] + memory) / size.memory)
-        if min(take, serve) < 0:
-            return -1.0
-        return max(0.0, min(take, serve) - START_WEIGHT * host.starting)
+        left = min(take + LATE_LIST, serve)
+        return max(0.0, left - START_WEIGHT * host.starting) if left >= 0 else -1.0
 
     def usual_load(self):
         """Sums over all hosts, now and then: what others ask on average, and use of what they ask."""
