--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -363,7 +363,7 @@
                    self.s.accepts_memory - (own[1] + others_asked[1] + track.job.memory) / size.memory)
         serve = min(self.calm - (own[2] + others_used[0] + cores) / size.cores,
                     MEMORY_SHARE - (own[3] + others_used[1] + memory) / size.memory)
-        left = min(take + LATE_LIST, serve)
+        left = min(take + LATE_LIST * (1 - 1 / self.s.controllers), serve)
         return max(0.0, left - START_WEIGHT * host.starting) if left >= 0 else -1.0
 
     def usual_load(self):
