--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -26,12 +26,12 @@
 NEAR_WARM = 0.4             # ... and this close where the host saves the job a start without its program
 FULL_MARK = 0.3             # seconds that a host which refused counts as full
 FULL_MOST = 2.4             # ... and at most, doubled by each further refusal in a row
-SILENT_MARK, SILENT_MOST = 1.0, 8.0
+SILENT_MARK, SILENT_MOST = 1.0, 8.0     # seconds that a host without an answer is spared, first and at most
 ILL_MOST = 16.0             # seconds that a host which errs is left alone by an offering, at most
 PROGRAMS = 12               # services that a host is trusted to keep after their last job
 CALM_MARGIN = 0.13          # how far over the calmest offering's share cores may be planned
 MEMORY_SHARE = 0.96         # share of memory that may be planned
-UNKNOWN_USE = 0.65          # share of its ask a job is taken to use before any note
+UNKNOWN_USE, UNKNOWN_MEMORY = 0.65, 0.8     # shares of its ask a job is taken to use before any note
 START_WEIGHT = 0.01         # room that each start still waiting takes, as a share of a host
 LOAD_EVERY = 0.2            # seconds between sums over all hosts
 LATE_LIST = 0.06            # share of a host that may have come free since the list was made
@@ -48,7 +48,7 @@
 ASK_AGAIN = 1.0
 QUIET_LIST = 6.0
 LAST_MOMENT = 0.03          # seconds before a job's expiry at which waiting ends
-YOUNG_SHARE = 0.8           # of the offers a young host bears that all controllers together may use
+YOUNG_SHARE, YOUNG_SPAN = 0.8, 1.1  # of the offers and the span that a young host bears, for all controllers
 PATIENCE = 0.25             # share of an offering's expiry that a launch may take to be accepted
 
 NEVER_RAN = (Result.TURNED_AWAY, Result.UNREACHABLE, Result.UNSENT)
@@ -134,7 +134,7 @@
         self.services = {}
         self.waiting = {}
         self.held = {customer: 0.0 for customer in settings.quotas}
-        self.usual = {name: Service(UNKNOWN_USE, UNKNOWN_USE + 0.15) for name in settings.offerings}
+        self.usual = {name: Service(UNKNOWN_USE, UNKNOWN_MEMORY) for name in settings.offerings}
         self.calm = min((o.calm for o in settings.offerings.values()), default=1.0) + CALM_MARGIN
         self.heard_list = now
         self.load_due = now
@@ -407,7 +407,7 @@
             if self.now < self.begun + self.s.young_span:   # an earlier life's sends there are not known
                 return False
             part = self.s.young_limit * YOUNG_SHARE / self.s.controllers
-            span = self.s.young_span * 1.1 * max(1.0, 1.0 / part)
+            span = self.s.young_span * YOUNG_SPAN * max(1.0, 1.0 / part)
             while host.sends and host.sends[0] <= self.now - span:
                 host.sends.popleft()
             if len(host.sends) + 1 > max(1.0, part):
