--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -421,13 +421,14 @@
         if not self.allowed(track, host):
             raise AssertionError("a send that the rules forbid")
         wait = track.job.expiry - LAST_MOMENT - self.now
+        late = max(ANSWER_LEAST, LATE_ANSWER * self.usual[track.offering.name].answer)
         if not self.s.starts_confirmed:     # a start that is given up is work lost, an acceptance is cheap
             wait = min(wait, PATIENCE * track.offering.expiry)
             if track.offering.effect is Effect.REDOABLE:
-                wait = min(wait, max(ANSWER_LEAST, LATE_ANSWER * self.usual[track.offering.name].answer))
+                wait = min(wait, late)
         track.launches += 1
         track.sent = self.now
-        track.answer_due = self.now + max(ANSWER_LEAST, LATE_ANSWER * self.usual[track.offering.name].answer)
+        track.answer_due = self.now + late
         track.started = False
         host.sends.append(self.now)
         self.hold(track, host)
@@ -600,9 +601,9 @@
         host.entry = entry
         if entry.free_cores is not None and entry.mode is not Mode.GONE:
             own = host.own
-            # taken whole: a list may tell only of what changes, so old figures would never fade
             if host.used and host.used_heard < self.now - USED_VALID:
                 host.used = blend(host.used, self.others_use(host))
+            # taken whole: a list may tell only of what changes, so old figures would never fade
             host.asked = (max(0.0, host.size.cores - entry.free_cores - own[0]),
                           max(0.0, host.size.memory - (entry.free_memory or 0.0) - own[1]))
 
--- a/tests/play.py
+++ b/tests/play.py
@@ -34,7 +34,11 @@
 
 
 def changed(thing, words):
-    """The same record with KEY=VALUE words applied, each read as the type of the field."""
+    """The same record with KEY=VALUE words applied, each read as the type of the field.
+
+    >>> changed(HOST, ["cell=3", "mode=draining"]).cell
+    3
+    """
     values = {}
     for word in words:
         key, text = word.split("=")
