Lay the program's base: own protocol, HCL settings, an engine without sockets

Need: the decisions are to become a program. The engine turns events into the module's and its actions into effects, numbers launches and holds what proves that a launch did not run; settings are built and checked in one place for the wire and for HCL; JSON nested too deep gives the adapter's one plain line.

--- /dev/null
+++ b/linedeal/engine/effects.py
@@ -0,0 +1,117 @@
+"""What the engine wants done, in order."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from linedeal.engine.events import LaunchId, ListedHost
+from linedeal.interface import Job
+
+
+class Verdict(Enum):
+    PLACED = "placed"
+    REJECTED = "rejected"
+    WRITTEN_OFF = "written off"
+
+
+@dataclass(frozen=True, slots=True)
+class KnowHost:
+    """The host is listed: a link to it may be asked for from now on."""
+
+    host: ListedHost
+
+
+@dataclass(frozen=True, slots=True)
+class DropHost:
+    """It is gone and holds nothing of ours: its link ends."""
+
+    host: str
+
+
+@dataclass(frozen=True, slots=True)
+class OpenLink:
+    """Make the link now, to learn what the host holds."""
+
+    host: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendLaunch:
+    host: str
+    number: int
+    job: Job
+    due: float                  # when it is given up
+
+
+@dataclass(frozen=True, slots=True)
+class Unsend:
+    """Keep the launch back if its frame has not begun to leave; the link then tells `Unsent`."""
+
+    host: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class SendStop:
+    host: str
+    launch: LaunchId
+
+
+@dataclass(frozen=True, slots=True)
+class SendEndSeen:
+    host: str
+    launch: LaunchId
+
+
+@dataclass(frozen=True, slots=True)
+class SendProbe:
+    host: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Take:
+    """The job is taken: from here it is owed one answer."""
+
+    client: int
+    key: str
+    job: str
+
+
+@dataclass(frozen=True, slots=True)
+class TurnAway:
+    """It is not taken; nothing is owed."""
+
+    client: int
+    key: str
+    reason: str
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    client: int
+    key: str
+    job: str
+    verdict: Verdict
+    host: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Watch:
+    """Ask discovery to be told of changes."""
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """One line for the log: `event` is a fixed phrase, `fields` its keys."""
+
+    level: str
+    event: str
+    fields: tuple[tuple[str, object], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Halt:
+    """This life must end: nothing it sends would count any more."""
+
+    reason: str
--- /dev/null
+++ b/linedeal/engine/engine.py
@@ -0,0 +1,492 @@
+"""The engine: what has arrived goes in, what is to be done comes out.
+
+It stands between the links and the decision module. The module decides; the engine numbers launches, times them
+out, tells late and doubled answers from true ones, and sees that a job taken is answered once. Feed events with
+`put`, then call `turn(now)`: it passes all of them to the module, rings what is due, lets the module settle once,
+and returns the effects in order. Call it again when something arrives, or at `next_due()`.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+from random import Random
+
+from linedeal import interface as api
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
+from linedeal.engine import launches
+from linedeal.engine.asking import Asking, again_after
+from linedeal.engine.fleet import Fleet, HostRecord
+from linedeal.engine.launches import Launch, State
+from linedeal.engine.timers import Timers
+from linedeal.interface import Effect, Mode, Result
+from linedeal.policy import Controller
+from linedeal.settings.cluster import Cluster
+
+STRAY_KEPT = 60.0       # seconds for which a launch that was given up is remembered, for a late yes
+STALL_SEEN = 0.25       # a timer this late tells that this process stood still, not that hosts were silent
+BREATH = 0.05           # what came in meanwhile is read for so long before launches are given up
+
+
+class BrokenPromise(AssertionError):
+    """The engine was about to do what a rule forbids. It ends the process: better no controller than a wrong one."""
+
+
+@dataclass(slots=True, eq=False)
+class Taken:
+    """A job that is owed an answer."""
+
+    client: int
+    key: str
+    job: api.Job
+
+
+class Engine:
+    def __init__(self, cluster: Cluster, name: str, life: int, seed: int, now: float, policy=Controller):
+        self.cluster, self.name, self.life = cluster, name, life
+        self.random = Random(seed)
+        self.module = policy(cluster.settings, seed, now)
+        self.fleet = Fleet()
+        self.timers = Timers()
+        self.asking = Asking(cluster.limits.welcome_pace, Random(seed + 1))
+        self.arrived: deque = deque()
+        self.out: list = []
+        self.now = now
+        self.ready = False          # a list has been heard, so that jobs can be taken
+        self.taken: dict[str, Taken] = {}
+        self.keys: dict[tuple[int, str], str] = {}
+        self.clients: dict[int, set[str]] = {}
+        self.launches: dict[on.LaunchId, Launch] = {}
+        self.by_job: dict[str, Launch] = {}     # the launch that the module has out, or placed
+        self.probes: dict[int, str] = {}
+        self.numbers = self.jobs = self.probe_numbers = 0
+        self.counts = {"taken": 0, "placed": 0, "rejected": 0, "written off": 0, "turned away": 0, "launches": 0,
+                       "late yes": 0, "for an unknown launch": 0, "proven not run": 0}
+
+    # -- the turn
+
+    def put(self, event) -> None:
+        self.arrived.append(event)
+
+    def begin(self) -> list:
+        """The first effects of this life."""
+        self.out = []
+        self.act(self.module.begin())
+        return self.out
+
+    def turn(self, now: float) -> list:
+        """Takes in all that has arrived and is due at `now`."""
+        self.now, self.out = now, []
+        while self.arrived:
+            event = self.arrived.popleft()
+            HANDLERS[type(event)](self, event)
+        self.ring()
+        for host in self.asking.take(now):
+            if host in self.fleet.hosts and not self.fleet.hosts[host].asked:
+                self.out.append(do.OpenLink(host))
+        if self.asking.waiting:
+            self.timers.arm(self.asking.due, "asking", "")
+        self.act(self.module.settle(now))
+        for host in self.fleet.to_drop():
+            del self.fleet.hosts[host]
+            self.out.append(do.DropHost(host))
+        return self.out
+
+    def next_due(self) -> float:
+        """When to call `turn` again if nothing arrives before; infinity for never."""
+        return self.timers.next()
+
+    def ring(self) -> None:
+        # guards against a process that stood still: its launches' answers may lie unread beside their time-outs,
+        # and giving up first would launch again, or write off, what a host has long said yes to
+        late = self.now - self.timers.next()
+        if late > STALL_SEEN:
+            self.note("warning", "stood still", seconds=round(late, 3))
+        for kind, key in list(self.timers.due(self.now)):
+            if late > STALL_SEEN and kind in ("launch", "probe"):
+                self.timers.arm(self.now + BREATH, kind + " at last", key)
+            else:
+                RINGERS[kind](self, key)
+
+    def tell(self, event) -> None:
+        """One event for the module, and what it does on it."""
+        self.act(self.module.handle(self.now, event))
+
+    def act(self, actions) -> None:
+        for action in list(actions):
+            match action:
+                case api.Launch(job, host, wait):
+                    self.launch(job, host, wait)
+                case api.Reject(job):
+                    self.answer(job, do.Verdict.REJECTED)
+                case api.WriteOff(job):
+                    self.answer(job, do.Verdict.WRITTEN_OFF)
+                case api.Timer(delay, key):
+                    self.timers.arm(self.now + delay, "module", key)
+                case api.Probe(host):
+                    self.probe(host)
+                case api.Subscribe():
+                    self.out.append(do.Watch())
+                case api.Log(text):
+                    self.note("warning", "module", text=text)
+                case _:
+                    raise TypeError(f"no effect for {action!r}")
+
+    def note(self, level: str, event: str, **fields) -> None:
+        self.out.append(do.Note(level, event, tuple(fields.items())))
+
+    # -- clients
+
+    def submitted(self, event: on.Submitted) -> None:
+        offering = self.cluster.settings.offerings.get(event.offering)
+        reason = self.turned_away(event, offering)
+        if reason:
+            self.counts["turned away"] += 1
+            retry_after = self.cluster.limits.retry_after if offering else 0.0
+            self.out.append(do.TurnAway(event.client, event.key, reason, retry_after))
+            return
+        self.jobs += 1
+        wait = min(event.wait or offering.expiry, offering.expiry)
+        job = api.Job(f"{self.name}.{self.life}.{self.jobs}", event.offering, event.customer, event.service,
+                      event.cores, event.memory, self.now + wait)
+        self.taken[job.id] = Taken(event.client, event.key, job)
+        self.keys[event.client, event.key] = job.id
+        self.clients.setdefault(event.client, set()).add(event.key)
+        self.counts["taken"] += 1
+        self.out.append(do.Take(event.client, event.key, job.id))
+        self.tell(api.JobArrived(job))
+
+    def turned_away(self, event: on.Submitted, offering) -> str:
+        """Why it is not taken, or nothing. Only here can a job be refused without an answer being owed."""
+        if offering is None:
+            return f"no offering {event.offering!r}"
+        if not (0 < event.cores < float("inf") and 0 < event.memory < float("inf")):
+            return "cores and memory have to be over 0"
+        if not 0 <= event.wait < float("inf"):
+            return "wait is no number of seconds"
+        if (event.client, event.key) in self.keys:
+            return "this key waits already"
+        if not self.ready:
+            return "no list of hosts yet"
+        if len(self.taken) >= self.cluster.limits.held:
+            return "too many jobs are held"
+        return ""
+
+    def taken_back(self, event: on.TakenBack) -> None:
+        job_id = self.keys.pop((event.client, event.key), None)
+        if job_id is None:
+            return
+        self.clients[event.client].discard(event.key)
+        del self.taken[job_id]
+        launch = self.by_job.get(job_id)
+        if launch is not None:
+            launch.wanted = False
+            self.stop(launch)
+        self.tell(api.Withdrawn(job_id))
+
+    def client_left(self, event: on.ClientLeft) -> None:
+        for key in sorted(self.clients.get(event.client, ())):
+            self.taken_back(on.TakenBack(event.client, key))
+        self.clients.pop(event.client, None)
+
+    def answer(self, job_id: str, verdict: do.Verdict, host: str = "") -> None:
+        """The one way in which a job is answered: it is owed nothing from then on."""
+        taken = self.taken.pop(job_id, None)
+        if taken is None:
+            raise BrokenPromise(f"a second answer for {job_id}")
+        del self.keys[taken.client, taken.key]
+        self.clients[taken.client].discard(taken.key)
+        self.counts[verdict.value] += 1
+        self.out.append(do.Answer(taken.client, taken.key, job_id, verdict, host))
+
+    # -- launches
+
+    def launch(self, job_id: str, host: str, wait: float) -> None:
+        taken, record = self.taken.get(job_id), self.fleet.hosts.get(host)
+        if taken is None or job_id in self.by_job:
+            raise BrokenPromise(f"a launch of {job_id}, which is {'out' if taken else 'answered'} already")
+        self.numbers += 1
+        launch = Launch(on.LaunchId(self.life, self.numbers), taken.job,
+                        self.cluster.settings.offerings[taken.job.offering].effect, host, self.now + wait)
+        self.launches[launch.id] = self.by_job[job_id] = launch
+        record.launches[launch.id] = launch
+        self.counts["launches"] += 1
+        self.timers.arm(launch.due, "launch", launch.id)
+        self.out.append(do.SendLaunch(host, launch.id.number, taken.job, launch.due))
+
+    def stop(self, launch: Launch) -> None:
+        self.out.append(do.SendStop(launch.host, launch.id))
+
+    def forget(self, launch: Launch) -> None:
+        self.launches.pop(launch.id, None)
+        record = self.fleet.hosts.get(launch.host)
+        if record is not None:
+            record.launches.pop(launch.id, None)
+        if self.by_job.get(launch.job.id) is launch:
+            del self.by_job[launch.job.id]
+
+    def launch_due(self, launch_id: on.LaunchId) -> None:
+        launch = self.launches.get(launch_id)
+        if launch is None or launch.state is not State.OUT:
+            return
+        if not launch.left and not launch.unsend:   # the link says at once whether it could still be kept back
+            launch.unsend = True
+            self.out.append(do.Unsend(launch.host, launch_id.number))
+            self.timers.arm(self.now + BREATH, "launch at last", launch_id)
+            return
+        if launch.effect is not Effect.IRREVERSIBLE:
+            self.stop(launch)
+        self.give_up(launch, Result.SILENT)
+
+    def give_up(self, launch: Launch, result: Result) -> None:
+        """No answer is waited for any more; what the host still says of it is late."""
+        launch.state = State.STRAY
+        del self.by_job[launch.job.id]
+        self.timers.arm(self.now + STRAY_KEPT, "stray", launch.id)
+        self.ended(launch, result, api.Why.UNTOLD)
+
+    def stray_due(self, launch_id: on.LaunchId) -> None:
+        launch = self.launches.get(launch_id)
+        if launch is not None and launch.state is State.STRAY:
+            self.forget(launch)
+
+    def ended(self, launch: Launch, result: Result, why: api.Why) -> None:
+        """Tells the module how the launch that it has out has ended."""
+        closed = launch.job.id not in self.taken
+        self.tell(api.Ended(launch.job.id, launch.id.number, launch.host, result, why, closed))
+
+    def over(self, launch: Launch, result: Result, why: api.Why) -> None:
+        stray = launch.state is State.STRAY
+        self.forget(launch)
+        if not stray:
+            if result is Result.UNREACHABLE and launch.left:
+                self.counts["proven not run"] += 1
+            self.ended(launch, result, why)
+
+    def said_yes(self, launch: Launch) -> None:
+        if launch.state is State.STRAY:
+            self.late_yes(launch)
+            return
+        if launch.state is State.HELD:
+            return
+        launch.state = State.HELD
+        self.tell(api.Confirmed(launch.job.id, launch.id.number, launch.host))
+        if launch.job.id in self.taken:
+            self.answer(launch.job.id, do.Verdict.PLACED, launch.host)
+        elif not launch.wanted:
+            self.stop(launch)   # taken back while the yes was on its way
+
+    def late_yes(self, launch: Launch) -> None:
+        """After its time: believed only as a fact about the host, never as an answer."""
+        self.counts["late yes"] += 1
+        if launches.late_yes_is_kept(launch) and launch.job.id not in self.taken:
+            launch.state = State.HELD
+            self.by_job[launch.job.id] = launch
+            self.tell(api.JobFound(launch.job, launch.host))
+        else:
+            self.stop(launch)
+
+    def find(self, host: str, launch_id: on.LaunchId) -> Launch | None:
+        """The launch that a host speaks of. One that is unknown, or was never sent to this host, changes nothing."""
+        launch = self.launches.get(launch_id)
+        if launch is None or launch.host != host:
+            self.counts["for an unknown launch"] += 1
+            return None
+        return launch
+
+    # -- what hosts say
+
+    def accepted(self, event: on.Accepted) -> None:
+        launch = self.find(event.host, event.launch)
+        if launch is None:
+            self.out.append(do.SendStop(event.host, event.launch))  # nobody waits for it, nobody counts it
+        elif not self.cluster.settings.starts_confirmed:
+            self.said_yes(launch)
+
+    def started(self, event: on.Started) -> None:
+        launch = self.find(event.host, event.launch)
+        if launch is None:
+            return
+        self.said_yes(launch)
+        if launch.state is State.HELD and not launch.started:
+            launch.started = True
+            self.tell(api.Noted(launch.job.id, event.host, "started", 1.0))
+
+    def refused(self, event: on.Refused) -> None:
+        launch = self.find(event.host, event.launch)
+        if launch is None or launch.state is State.HELD:
+            return
+        self.over(launch, Result.TURNED_AWAY, event.why)
+
+    def host_ended(self, event: on.Over) -> None:
+        self.out.append(do.SendEndSeen(event.host, event.launch))
+        launch = self.find(event.host, event.launch)
+        if launch is not None:
+            self.over(launch, event.result, event.why)
+
+    def used(self, event: on.Used) -> None:
+        launch = self.find(event.host, event.launch)
+        if launch is not None and launch.state is State.HELD:
+            self.tell(api.Noted(launch.job.id, event.host, "cores", event.cores))
+            self.tell(api.Noted(launch.job.id, event.host, "memory", event.memory))
+
+    def served(self, event: on.Served) -> None:
+        launch = self.find(event.host, event.launch)
+        if launch is not None and launch.state is State.HELD:
+            if event.share >= 0:
+                self.tell(api.Noted(launch.job.id, event.host, "served", event.share))
+            if event.host_memory >= 0:
+                self.tell(api.Noted(launch.job.id, event.host, "host_memory", event.host_memory))
+
+    # -- probes
+
+    def probe(self, host: str) -> None:
+        self.probe_numbers += 1
+        self.probes[self.probe_numbers] = host
+        self.timers.arm(self.now + self.cluster.limits.probe, "probe", self.probe_numbers)
+        self.out.append(do.SendProbe(host, self.probe_numbers))
+
+    def reported(self, event: on.Reported) -> None:
+        if self.probes.pop(event.number, None) == event.host:
+            self.tell(api.Probed(event.host, True, dict(event.figures)))
+
+    def probe_due(self, number: int) -> None:
+        host = self.probes.pop(number, None)
+        if host is not None:
+            self.tell(api.Probed(host, False))
+
+    # -- links
+
+    def left(self, event: on.Left) -> None:
+        for number in event.numbers:
+            launch = self.launches.get(on.LaunchId(self.life, number))
+            if launch is not None:
+                launch.left, launch.boot = event.link, self.fleet.hosts[event.host].boot
+
+    def link_up(self, event: on.LinkUp) -> None:
+        record = self.fleet.hosts.get(event.host)
+        if record is None:
+            return
+        record.link, record.boot, record.asked, record.tries = event.link, event.boot, True, 0
+        held = {item.launch: item for item in event.held}
+        for launch in list(record.launches.values()):
+            if not launch.left and launch.id.life == self.life:
+                continue        # it waits to be sent on this very link
+            item = held.pop(launch.id, None)
+            finding = launches.found(launch, item, event.boot, event.forgot)
+            if item is not None:
+                launch.left, launch.boot = event.link, event.boot
+            self.learn(launch, finding)
+        for item in held.values():
+            self.found(record, item)
+
+    def learn(self, launch: Launch, finding: launches.Finding | None) -> None:
+        if finding is None or finding.phase is on.Phase.QUEUED:
+            return
+        if finding.phase is on.Phase.OVER:
+            if finding.result in (Result.DONE, Result.ERROR, Result.STOPPED):
+                self.out.append(do.SendEndSeen(launch.host, launch.id))
+            self.over(launch, finding.result, finding.why)
+        elif finding.phase is on.Phase.RUNNING:
+            self.started(on.Started(launch.host, launch.id))
+        elif not self.cluster.settings.starts_confirmed:
+            self.said_yes(launch)
+
+    def found(self, record: HostRecord, item: on.Held) -> None:
+        """A launch that this life did not make, or has forgotten."""
+        host, offering = record.listed.id, self.cluster.settings.offerings.get(item.job.offering)
+        if item.phase is on.Phase.OVER:
+            self.out.append(do.SendEndSeen(host, item.launch))
+        elif offering is None or item.launch.life == self.life and offering.effect is not Effect.IRREVERSIBLE:
+            self.out.append(do.SendStop(host, item.launch))
+        elif item.job.id not in self.by_job:
+            launch = Launch(item.launch, item.job, offering.effect, host, self.now, State.HELD, record.link,
+                            record.boot, started=item.phase is on.Phase.RUNNING)
+            self.launches[launch.id] = self.by_job[item.job.id] = record.launches[launch.id] = launch
+            self.tell(api.JobFound(item.job, host))
+
+    def link_down(self, event: on.LinkDown) -> None:
+        for number in event.probes:
+            self.probe_due(number)
+        record = self.fleet.hosts.get(event.host)
+        if record is None:
+            return
+        if record.link == event.link:
+            record.link = 0
+        self.kept_back(event.unsent, Result.UNREACHABLE)
+        if event.link:
+            for launch in list(record.launches.values()):
+                result = launches.cut(launch) if launch.left == event.link else None
+                if result:
+                    self.give_up(launch, result)
+        self.lose_gone()
+        if record.launches or not record.asked:     # what the host holds has to be learned
+            record.tries += 1
+            self.timers.arm(self.now + again_after(record.tries, self.random), "relink", event.host)
+
+    def relink_due(self, host: str) -> None:
+        record = self.fleet.hosts.get(host)
+        if record and not record.link and record.listed.mode is not Mode.GONE and (
+                record.launches or not record.asked):
+            self.out.append(do.OpenLink(host))
+
+    def unsent(self, event: on.Unsent) -> None:
+        self.kept_back(event.numbers, Result.UNSENT)
+
+    def kept_back(self, numbers: tuple[int, ...], result: Result) -> None:
+        """Frames of these launches never began to leave, so none of them ran."""
+        for number in numbers:
+            launch = self.launches.get(on.LaunchId(self.life, number))
+            if launch is not None and launch.state is not State.HELD:
+                self.over(launch, result, api.Why.UNTOLD)
+
+    def fenced(self, event: on.Fenced) -> None:
+        self.out.append(do.Halt(f"host {event.host}: {event.reason}"))
+
+    # -- which hosts there are
+
+    def list_heard(self, event: on.ListHeard) -> None:
+        entries = tuple(self.fleet.hear(self.now, listed) for listed in event.hosts)
+        known = [do.KnowHost(listed) for listed in event.hosts if listed.mode is not Mode.GONE]
+        self.out += known
+        if event.whole:
+            self.fleet.missing({listed.id for listed in event.hosts})
+        self.tell(api.HostsListed(entries, event.whole, event.remembered))
+        self.lose_gone()
+        if event.remembered or event.whole:
+            self.ready = True
+        if event.whole or event.remembered:
+            self.asking.add([h.id for h in event.hosts if h.mode is not Mode.GONE
+                             and not self.fleet.hosts[h.id].asked and h.id not in self.asking.waiting])
+
+    def lose_gone(self) -> None:
+        """A host that is gone for good answers nothing more: what was held there is lost, and is told so."""
+        for record in list(self.fleet.hosts.values()):
+            if record.listed.mode is Mode.GONE and not record.link:
+                for launch in list(record.launches.values()):
+                    if launch.state is not State.OUT:
+                        self.over(launch, Result.CUT, api.Why.UNTOLD)
+
+    def list_failed(self, event: on.ListFailed) -> None:
+        self.tell(api.ListLost())
+
+    # -- timers
+
+    def module_due(self, key: str) -> None:
+        self.tell(api.Woken(key))
+
+    def asking_due(self, _) -> None:
+        """Only wakes the turn, which asks."""
+
+
+HANDLERS = {
+    on.Submitted: Engine.submitted, on.TakenBack: Engine.taken_back, on.ClientLeft: Engine.client_left,
+    on.ListHeard: Engine.list_heard, on.ListFailed: Engine.list_failed,
+    on.Left: Engine.left, on.Unsent: Engine.unsent, on.LinkUp: Engine.link_up, on.LinkDown: Engine.link_down, on.Fenced: Engine.fenced,
+    on.Accepted: Engine.accepted, on.Refused: Engine.refused, on.Started: Engine.started, on.Used: Engine.used,
+    on.Served: Engine.served, on.Over: Engine.host_ended, on.Reported: Engine.reported,
+}
+RINGERS = {
+    "module": Engine.module_due, "launch": Engine.launch_due, "stray": Engine.stray_due, "probe": Engine.probe_due,
+    "launch at last": Engine.launch_due, "probe at last": Engine.probe_due, "asking": Engine.asking_due,
+    "relink": Engine.relink_due,
+}
--- /dev/null
+++ b/linedeal/engine/events.py
@@ -0,0 +1,189 @@
+"""What the engine is told. Each comes from one link, from discovery or from a client; times are not in them, the
+engine is told the time of each turn."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from linedeal.interface import Job, Mode, Result, Why
+
+
+class LaunchId(NamedTuple):
+    """One launch of one controller over all its lives."""
+
+    life: int
+    number: int
+
+
+class Phase(Enum):
+    """How far a host has come with a launch."""
+
+    QUEUED = "waits to be looked at"
+    ACCEPTED = "accepted"
+    RUNNING = "started"
+    OVER = "ended"
+
+
+@dataclass(frozen=True, slots=True)
+class ListedHost:
+    id: str
+    addresses: tuple[str, ...]
+    kind: str
+    zone: str
+    cell: int
+    mode: Mode
+    boot: int                   # another number after each start of the host
+    age: float                  # seconds since that start, when the list was sent
+    free_cores: float | None
+    free_memory: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """What a host says of a launch when a link is made."""
+
+    launch: LaunchId
+    job: Job
+    phase: Phase
+    result: Result = Result.DONE
+    why: Why = Why.UNTOLD
+
+
+# from discovery
+
+@dataclass(frozen=True, slots=True)
+class ListHeard:
+    hosts: tuple[ListedHost, ...]
+    whole: bool
+    version: int
+    remembered: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ListFailed:
+    reason: str
+
+
+# from clients; `client` is the number of a link
+
+@dataclass(frozen=True, slots=True)
+class Submitted:
+    client: int
+    key: str
+    offering: str
+    customer: str
+    service: str
+    cores: float
+    memory: float
+    wait: float                 # seconds; 0: as long as the offering allows
+
+
+@dataclass(frozen=True, slots=True)
+class TakenBack:
+    client: int
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLeft:
+    client: int
+
+
+# from the link to a host
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """Frames of these launches are about to be written: from here on they may reach the host."""
+
+    host: str
+    link: int
+    numbers: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Unsent:
+    """Launches that the link kept back: they were called off in time, or too many waited."""
+
+    host: str
+    numbers: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkUp:
+    host: str
+    link: int
+    boot: int
+    held: tuple[Held, ...] = ()
+    forgot: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LinkDown:
+    """The link has ended, or was never made (link 0); `unsent` launches and probes never began to leave."""
+
+    host: str
+    link: int
+    unsent: tuple[int, ...] = ()
+    probes: tuple[int, ...] = ()
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Fenced:
+    """A host has met a later life of this controller."""
+
+    host: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    host: str
+    launch: LaunchId
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    host: str
+    launch: LaunchId
+    why: Why
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    host: str
+    launch: LaunchId
+
+
+@dataclass(frozen=True, slots=True)
+class Used:
+    host: str
+    launch: LaunchId
+    cores: float
+    memory: float
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """Figures under 0 were not told."""
+
+    host: str
+    launch: LaunchId
+    share: float
+    host_memory: float
+
+
+@dataclass(frozen=True, slots=True)
+class Over:
+    host: str
+    launch: LaunchId
+    result: Result
+    why: Why
+
+
+@dataclass(frozen=True, slots=True)
+class Reported:
+    host: str
+    number: int
+    figures: dict[str, float] = field(default_factory=dict)
--- /dev/null
+++ b/linedeal/settings/cluster.py
@@ -0,0 +1,193 @@
+"""Reads a cluster's HCL file into frozen records, and names all its faults at once."""
+
+import difflib
+import re
+from dataclasses import dataclass
+from pathlib import Path
+
+import hcl2
+from lark.exceptions import LarkError
+
+from linedeal import interface as api
+from linedeal.settings import build
+
+EFFECTS = {"redoable": api.Effect.REDOABLE, "labelled": api.Effect.LABELLED, "irreversible": api.Effect.IRREVERSIBLE}
+PLACES = {"none": api.Place.NONE, "host": api.Place.HOST, "cell": api.Place.CELL, "zone": api.Place.ZONE,
+          "all": api.Place.ALL}
+NEEDED = object()
+
+
+class ConfigFault(Exception):
+    """`lines`: every fault found, each `file: block: fault` on one line."""
+
+    def __init__(self, lines: list[str]):
+        super().__init__("\n".join(lines))
+        self.lines = lines
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds of one controller: counts, bytes and seconds."""
+
+    held: int = 20000           # jobs taken and not yet answered
+    clients: int = 500          # links from clients
+    client_bytes: int = 262144  # waiting to be read by one client
+    client_idle: float = 300.0  # seconds without a frame from a client that waits for nothing
+    hello: float = 5.0          # seconds within which a new link has to say who it is
+    retry_after: float = 1.0    # told to who is turned away
+    link_queue: int = 4096      # frames waiting for one host
+    connect: float = 1.0        # seconds for a link to stand
+    probe: float = 1.0          # seconds for a probe's answer
+    welcome_pace: float = 20.0  # hosts a second asked, after a start, what they hold
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    answer_slack: float = 0.5   # seconds after a job's expiry within which its answer counts as in time
+    drain_grace: float = 1.0    # seconds from being told of a drain to the last send
+    owner_wait: float = 3.0     # seconds an owner waits before asking again where a launch may run
+
+
+@dataclass(frozen=True, slots=True)
+class Cluster:
+    settings: api.Settings
+    limits: Limits
+    rules: Rules
+
+
+BLOCKS = {
+    "cluster": {
+        "controllers": (int, NEEDED), "accepts_cores": (float, 2.0), "accepts_memory": (float, 1.5),
+        "confirms": (("accepted", "running"), "accepted"), "host_price": (float, 0.0), "must_ask": (bool, True),
+        "ask_within": (float, 10.0), "may_probe": (bool, True), "max_launches": (int, 6),
+    },
+    "young": {"time": (float, 10.0), "offers": (float, 20.0), "span": (float, 3.0)},
+    "rules": {name: (float, getattr(Rules(), name)) for name in Rules.__dataclass_fields__},
+    "limits": {name: (type(getattr(Limits(), name)), getattr(Limits(), name)) for name in Limits.__dataclass_fields__},
+    "kind": {"cores": (float, NEEDED), "memory": (float, NEEDED)},
+    "offering": {
+        "expiry": (float, NEEDED), "value": (float, 1.0), "effect": (tuple(EFFECTS), NEEDED),
+        "group": (tuple(PLACES), "none"), "window": (float, 0.0), "kind": (str, None), "calm": (float, 1.0),
+        "fade": (float, 1.0), "spread": (tuple(PLACES), "none"), "most": (int, 0),
+    },
+    "customer": {"cores": (float, NEEDED)},
+}
+NAMED = ("kind", "offering", "customer")
+
+
+def read_cluster(path: str | Path) -> Cluster:
+    """The records of a cluster file. Raises ConfigFault with every fault of the file."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise ConfigFault([f"{path}: cannot be read: {error.strerror}"]) from None
+    except UnicodeDecodeError as error:
+        raise ConfigFault([f"{path}: not UTF-8 at byte {error.start}"]) from None
+    return parse_cluster(text, str(path))
+
+
+def parse_cluster(text: str, name: str = "cluster.hcl") -> Cluster:
+    """As `read_cluster`, from text; `name` stands in the faults."""
+    lines: list[str] = []
+    blocks = {block: {} for block in BLOCKS}
+
+    def fault(block, said):
+        lines.append(f"{name}: {block}: {said}")
+
+    for key, value in tree(text, name).items():
+        if key not in BLOCKS or not isinstance(value, list):
+            fault(key, f"unknown block{nearest(key, BLOCKS)}" if key not in BLOCKS else "is a block, not a value")
+            continue
+        for item in value:
+            label, body = "", item
+            if key in NAMED:
+                label, body = next(((k, v) for k, v in item.items() if not k.startswith("__")), ("", None))
+                label = unquote(label)
+            where = f"{key} {label}".strip()
+            if not isinstance(body, dict) or any(isinstance(v, dict) for k, v in body.items() if key in NAMED):
+                fault(where, "takes one name" if key in NAMED else "takes no name")
+            elif label in blocks[key]:
+                fault(where, "stands twice")
+            else:
+                blocks[key][label] = values(BLOCKS[key], body, where, fault)
+    for key in ("cluster", "young", "rules", "limits"):
+        if not blocks[key]:
+            blocks[key][""] = values(BLOCKS[key], {}, key, fault)
+    if lines:
+        raise ConfigFault(lines)
+    settings = to_settings(blocks)
+    limits, rules = Limits(**blocks["limits"][""]), Rules(**blocks["rules"][""])
+    for where, said in build.faults(settings) + build.doubts(settings):
+        block, _, key = where.rpartition(".")
+        fault(block or "cluster", f"{key} {said}")
+    for block, record in (("limits", limits), ("rules", rules)):
+        for key in record.__dataclass_fields__:
+            if getattr(record, key) <= 0:
+                fault(block, f"{key} is {getattr(record, key):g}, over 0 is needed")
+    if lines:
+        raise ConfigFault(lines)
+    return Cluster(settings, limits, rules)
+
+
+def tree(text, name):
+    try:
+        found = hcl2.loads(text)
+    except LarkError as error:
+        line, said = getattr(error, "line", None), str(error).splitlines()[0]
+        raise ConfigFault([f"{name}: line {line}: not HCL: {said}" if line else f"{name}: not HCL: {said}"]) from None
+    except RecursionError:
+        raise ConfigFault([f"{name}: not HCL: nested too deep"]) from None
+    return {key: value for key, value in found.items() if not key.startswith("__")}
+
+
+def values(known, body, where, fault):
+    """The block's values, with defaults; what is unknown, missing or of the wrong type is told to `fault`."""
+    found = {}
+    for key in body:
+        if not key.startswith("__") and key not in known:
+            fault(where, f"unknown key {key}{nearest(key, known)}")
+    for key, (kind, default) in known.items():
+        if key not in body:
+            if default is NEEDED:
+                fault(where, f"{key} is missing")
+            found[key] = default
+            continue
+        value = body[key]
+        if isinstance(value, str) and re.fullmatch(r'".*"', value, re.S):
+            value = unquote(value)
+        try:
+            if isinstance(kind, tuple):
+                if build.typed(value, str, key) not in kind:
+                    raise build.BadSetting(f"{key} is {value!r}, one of {', '.join(kind)} is needed")
+                found[key] = value
+            else:
+                found[key] = build.typed(value, kind, key)
+        except build.BadSetting as error:
+            fault(where, str(error))
+    return found
+
+
+def to_settings(blocks) -> api.Settings:
+    cluster, young = blocks["cluster"][""], blocks["young"][""]
+    return api.Settings(
+        controllers=cluster["controllers"],
+        offerings={name: build.offering(
+            name, item["expiry"], item["value"], EFFECTS[item["effect"]], PLACES[item["group"]], item["window"],
+            item["kind"], item["calm"], item["fade"], PLACES[item["spread"]], item["most"])
+            for name, item in blocks["offering"].items()},
+        kinds={name: api.Kind(item["cores"], item["memory"]) for name, item in blocks["kind"].items()},
+        quotas={name: item["cores"] for name, item in blocks["customer"].items()},
+        accepts_cores=cluster["accepts_cores"], accepts_memory=cluster["accepts_memory"],
+        starts_confirmed=cluster["confirms"] == "running", host_price=cluster["host_price"],
+        must_ask=cluster["must_ask"], ask_within=cluster["ask_within"], may_probe=cluster["may_probe"],
+        max_launches=cluster["max_launches"], cold_time=young["time"], young_limit=young["offers"],
+        young_span=young["span"])
+
+
+def unquote(text: str) -> str:
+    return text[1:-1] if len(text) > 1 and text[0] == text[-1] == '"' else text
+
+
+def nearest(key, known) -> str:
+    close = difflib.get_close_matches(key, known, n=1, cutoff=0.5)
+    return f", the nearest known is {close[0]}" if close else ""
--- a/linedeal/wirehost.py
+++ b/linedeal/wirehost.py
@@ -203,6 +203,8 @@
         message = json.loads(line)
     except ValueError:
         raise BadInput(f"not JSON: {line.strip()[:80]!r}") from None
+    except RecursionError:  # guards against a traceback where one plain line is owed
+        raise BadInput(f"nested too deep: {line.strip()[:40]!r}") from None
     if not isinstance(message, dict) or len(message) != 1:
         raise BadInput(f"not an object with one key: {line.strip()[:80]!r}")
     name, fields = next(iter(message.items()))
--- a/linedeal/wiresettings.py
+++ b/linedeal/wiresettings.py
@@ -1,36 +1,24 @@
 """Reads the settings that the wire sends at an instance's start into the interface's `Settings`."""
 
 from linedeal import interface as api
+from linedeal.settings import build
+from linedeal.settings.build import BadSetting
 
 EFFECTS = {"retryable": api.Effect.REDOABLE, "dedup": api.Effect.LABELLED}
 PLACES = {"all": api.Place.ALL, "zone": api.Place.ZONE, "cell": api.Place.CELL, "machine": api.Place.HOST,
           "off": api.Place.NONE}
 
 
-class BadSetting(Exception):
-    """Names the setting that is missing or of the wrong type."""
-
-
 def get(table, path, kind):
     value = table
     for key in path.split("."):
         value = value.get(key) if isinstance(value, dict) else None
-    if kind is float and isinstance(value, int) and not isinstance(value, bool):
-        value = float(value)
-    if value is None:
-        raise BadSetting(f"{path} is missing")
-    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
-        raise BadSetting(f"{path} is not {kind.__name__}")
-    return value
+    return build.typed(value, kind, path)
 
 
 def number(values, index, path):
     """One figure of a list that has one for each offering, kind or customer."""
-    if index >= len(values):
-        raise BadSetting(f"{path}[{index}] is missing")
-    if isinstance(values[index], bool) or not isinstance(values[index], (int, float)):
-        raise BadSetting(f"{path}[{index}] is not a number")
-    return float(values[index])
+    return build.number(values[index] if index < len(values) else None, f"{path}[{index}]")
 
 
 def read_offering(setup, index, kinds):
@@ -40,15 +28,14 @@
         return number(get(setup, "domain." + key, list), index, "domain." + key)
 
     effect = EFFECTS.get(get(item, "idempotency", str), api.Effect.IRREVERSIBLE)
-    labelled = effect is api.Effect.LABELLED
-    group = PLACES.get(item.get("group"), api.Place.NONE) if labelled else api.Place.ALL
     kind = int(each("kind_by_class"))
     spread = get(setup, "domain.class_spread", list)
     place = PLACES.get(spread[index], api.Place.ALL) if index < len(spread) else api.Place.NONE
-    return api.Offering(
+    return build.offering(
         name=get(item, "name", str),
         expiry=get(item, "give_up_ms", float) / 1000, value=get(item, "worth", float), effect=effect,
-        group=group, window=get(item, "window_ms", float) / 1000 if labelled else 0.0,
+        group=PLACES.get(item.get("group"), api.Place.NONE),
+        window=get(item, "window_ms", float) / 1000 if effect is api.Effect.LABELLED else 0.0,
         kind=kinds[kind] if 0 <= kind < len(kinds) else None,
         calm=each("class_calm"), fade=each("fades_over"),
         place=place, most=int(each("spread_most")))
@@ -62,7 +49,7 @@
     offerings = [read_offering(setup, i, names) for i in range(len(get(setup, "classes", list)))]
     customers = setup.get("projects") or []
     quotas = get(setup, "domain.quota_cores", list) if customers else []
-    return api.Settings(
+    settings = api.Settings(
         controllers=get(setup, "fleet_size", int),
         offerings={offering.name: offering for offering in offerings}, kinds=kinds,
         quotas={get(item, "name", str): number(quotas, i, "domain.quota_cores")
@@ -77,3 +64,6 @@
         max_launches=get(setup, "permissions.max_attempts", int),
         cold_time=get(setup, "rules.cold_ms", float) / 1000, young_limit=get(setup, "domain.young_limit", float),
         young_span=get(setup, "rules.overload_for_ms", float) / 1000)
+    for where, said in build.faults(settings):
+        raise BadSetting(f"{where} {said}")
+    return settings
