--- /dev/null
+++ b/linedeal/client/client.py
@@ -0,0 +1,154 @@
+"""One link to one controller, with many jobs on it.
+
+    async with Client.connect(net, address, "school-7") as client:
+        answer = await client.submit(JobAsk("course-reader", "school", "readers", 2.0, 4.0))
+"""
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import AsyncIterator
+
+import anyio
+
+from linedeal.net import Address, Link, LinkLost, Net
+from linedeal.net.base import LOST, reason
+from linedeal.protocol import encode, pb
+
+VERSION = 1
+VERDICTS = {pb.PLACED: "placed", pb.REJECTED: "rejected", pb.WRITTEN_OFF: "written off"}
+
+
+@dataclass(frozen=True, slots=True)
+class JobAsk:
+    """Cores, memory in the cluster's unit, seconds to wait (0: as long as the offering allows)."""
+
+    offering: str
+    customer: str
+    service: str
+    cores: float
+    memory: float
+    wait: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """`verdict`: placed, rejected (trying again is harmless) or written off (it may have run)."""
+
+    job: str
+    verdict: str
+    host: str
+
+
+class TurnedAway(Exception):
+    """The controller did not take the job: it holds nothing of it, and trying again is harmless."""
+
+    def __init__(self, reason: str, retry_after: float):
+        super().__init__(reason)
+        self.retry_after = retry_after      # seconds; 0 where trying again will not help
+
+
+class ClientLost(Exception):
+    """The link ended before the answer. `taken` tells whether the controller had taken the job by then: if so it
+    may have run, and only a redoable one may be asked for again."""
+
+    def __init__(self, why: str, taken: bool):
+        super().__init__(why)
+        self.taken = taken
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    event: anyio.Event
+    result: object = None
+    taken: str = ""
+
+
+class Client:
+    def __init__(self, link: Link):
+        self.link = link
+        self.waiting: dict[str, Waiting] = {}
+        self.keys = 0
+        self.lost = ""
+        self.writing = anyio.Lock()
+
+    @classmethod
+    @asynccontextmanager
+    async def connect(cls, net: Net, address: Address, name: str, within: float = 5.0) -> AsyncIterator["Client"]:
+        """A client for the block; leaving it takes back all that still waits. Raises ClientLost."""
+        link = None
+        try:
+            with anyio.fail_after(within):
+                link = Link(await net.connect(address))
+                await link.send(encode(pb.Hello(version=VERSION, role=pb.CLIENT, name=name)))
+                welcome = await link.receive()
+            if isinstance(welcome, pb.Bye):
+                raise ClientLost(f"told to go: {welcome.reason}", False)
+        except (LinkLost, TimeoutError, *LOST) as error:
+            if link is not None:
+                await link.close()
+            said = str(error) if isinstance(error, LinkLost) else "no welcome in time"
+            raise ClientLost(reason(error) if isinstance(error, LOST) and not isinstance(error, TimeoutError) else said,
+                             False) from None
+        client = cls(link)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(client.read)
+                yield client
+                tasks.cancel_scope.cancel()
+        finally:
+            await link.close()
+
+    async def read(self) -> None:
+        try:
+            while True:
+                message = await self.link.receive()
+                waiting = self.waiting.get(getattr(message, "key", ""))
+                if waiting is None:
+                    if isinstance(message, pb.Bye):
+                        raise LinkLost(f"told to go: {message.reason}")
+                elif isinstance(message, pb.Taken):
+                    waiting.taken = message.job
+                else:
+                    waiting.result = message
+                    waiting.event.set()
+        except LinkLost as error:
+            self.lost = str(error)
+            for waiting in self.waiting.values():
+                waiting.event.set()
+
+    async def submit(self, ask: JobAsk, key: str = "") -> Answered:
+        """The job's one answer. Raises TurnedAway or ClientLost. Cancelled, it takes the job back."""
+        self.keys += 1
+        key = key or f"j{self.keys}"
+        if self.lost:
+            raise ClientLost(self.lost, False)
+        waiting = self.waiting[key] = Waiting(anyio.Event())
+        spec = pb.JobSpec(offering=ask.offering, customer=ask.customer, service=ask.service, cores=ask.cores,
+                          memory=ask.memory)
+        try:
+            await self.send(pb.Submit(key=key, job=spec, wait=ask.wait))
+            await waiting.event.wait()
+        except LinkLost as error:
+            raise ClientLost(str(error), True) from None    # the job may have got there
+        except anyio.get_cancelled_exc_class():
+            with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
+                await self.take_back(key)
+            raise
+        finally:
+            del self.waiting[key]
+        message = waiting.result
+        if message is None:
+            raise ClientLost(self.lost, True)
+        if isinstance(message, pb.TurnedAway):
+            raise TurnedAway(message.reason, message.retry_after)
+        return Answered(message.job, VERDICTS.get(message.verdict, "written off"), message.host)
+
+    async def take_back(self, key: str) -> None:
+        try:
+            await self.send(pb.TakeBack(key=key))
+        except LinkLost:
+            pass        # leaving takes it back as well
+
+    async def send(self, message) -> None:
+        async with self.writing:
+            await self.link.send(encode(message))
--- /dev/null
+++ b/linedeal/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The running controller: thin anyio tasks between sockets and the engine."""
--- /dev/null
+++ b/linedeal/controller/front.py
@@ -0,0 +1,129 @@
+"""The front: clients connect, submit and wait. Nothing is taken here, and nothing taken is lost here: the engine
+says what is taken, and a client that leaves takes its jobs back."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+import anyio
+
+from linedeal.controller import translate
+from linedeal.controller.inbox import Inbox
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
+from linedeal.net import Address, Link, LinkLost, Net, until_lost
+from linedeal.protocol import encode, pb
+from linedeal.settings.cluster import Limits
+
+VERSION = 1
+KEY_MOST = 200      # characters of a client's key for a job
+
+
+@dataclass(slots=True, eq=False)
+class Client:
+    number: int
+    link: Link
+    name: str = ""
+    outbox: deque = field(default_factory=deque)
+    waiting: int = 0            # bytes in it
+    jobs: int = 0               # taken and not answered
+    wake: anyio.Event = field(default_factory=anyio.Event)
+    lost: anyio.Event = field(default_factory=anyio.Event)
+
+
+class Front:
+    def __init__(self, controller: str, net: Net, limits: Limits, inbox: Inbox, log):
+        self.controller, self.net, self.limits, self.inbox, self.log = controller, net, limits, inbox, log
+        self.clients: dict[int, Client] = {}
+        self.numbers = 0
+        self.closing = False
+
+    async def run(self, address: Address, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        await self.net.serve(address, self.handle, task_status=task_status)
+
+    def send(self, number: int, effect) -> None:
+        """One message for a client that is still there. Over the bound the client is let go, others are not slowed."""
+        client = self.clients.get(number)
+        if client is None:
+            return
+        if not isinstance(effect, do.Take):
+            client.jobs -= 1
+        data = encode(translate.to_client(effect))
+        client.outbox.append(data)
+        client.waiting += len(data)
+        if client.waiting > self.limits.client_bytes:
+            client.lost.set()
+        client.wake.set()
+
+    async def handle(self, stream) -> None:
+        link = Link(stream)
+        self.numbers += 1
+        client = Client(self.numbers, link)
+        why = ""
+        try:
+            await self.greet(client)
+            self.clients[client.number] = client
+            await self.serve(client)
+        except LinkLost as error:
+            why = str(error)
+        finally:
+            known = self.clients.pop(client.number, None)
+            await link.close()
+            if known is not None:
+                with anyio.CancelScope(shield=True):
+                    await self.inbox.post(on.ClientLeft(client.number))
+        if why != "closed by the other side":
+            self.log.warning("client let go", client=client.name or client.number, reason=why)
+
+    async def greet(self, client: Client) -> None:
+        try:
+            with anyio.fail_after(self.limits.hello):
+                if self.closing or len(self.clients) >= self.limits.clients:
+                    said = "the controller ends" if self.closing else "too many clients"
+                    await client.link.send(encode(pb.Bye(reason=said, retry_after=self.limits.retry_after)))
+                    raise LinkLost(said)
+                hello = await client.link.receive()
+                if not isinstance(hello, pb.Hello):
+                    raise LinkLost(f"{type(hello).__name__} in place of a hello")
+                client.name = hello.name[:80]
+                await client.link.send(encode(pb.Welcome(version=min(hello.version, VERSION), name=self.controller)))
+        except TimeoutError:
+            raise LinkLost(f"no hello within {self.limits.hello:g} s") from None
+
+    async def serve(self, client: Client) -> None:
+        await until_lost(self.write(client), self.read(client), self.let_go(client))
+
+    async def read(self, client: Client) -> None:
+        while True:
+            with anyio.move_on_after(self.limits.client_idle) as idle:
+                messages = await client.link.receive_all()
+            if idle.cancelled_caught:
+                if client.jobs:
+                    continue
+                raise LinkLost(f"idle for {self.limits.client_idle:g} s")
+            await self.inbox.post(*[self.event(client, message) for message in messages])
+
+    def event(self, client: Client, message):
+        match message:
+            case pb.Submit() if 0 < len(message.key) <= KEY_MOST:
+                client.jobs += 1
+                return translate.submitted(client.number, message)
+            case pb.Submit():
+                raise LinkLost(f"a key of {len(message.key)} characters, 1 to {KEY_MOST} are taken")
+            case pb.TakeBack():
+                client.jobs -= 1
+                return on.TakenBack(client.number, message.key)
+        raise LinkLost(f"a client may not send {type(message).__name__}")
+
+    async def let_go(self, client: Client) -> None:
+        await client.lost.wait()
+        raise LinkLost(f"it leaves {client.waiting} bytes unread, over the bound of {self.limits.client_bytes}")
+
+    async def write(self, client: Client) -> None:
+        while True:
+            await client.wake.wait()
+            client.wake = anyio.Event()
+            while client.outbox:
+                data = b"".join(client.outbox)
+                client.outbox.clear()
+                await client.link.send(data)
+                client.waiting -= len(data)
--- /dev/null
+++ b/linedeal/controller/hostlink.py
@@ -0,0 +1,203 @@
+"""The link to one host: made on demand, written and read by two tasks, reported to the engine as it is.
+
+What has begun to be written may reach the host; what has not never will. This file keeps that line.
+"""
+
+from collections import deque
+
+import anyio
+
+from linedeal.controller import translate
+from linedeal.controller.inbox import Inbox
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
+from linedeal.net import Link, LinkLost, Net, parse_address, until_lost
+from linedeal.net.base import LOST, reason
+from linedeal.protocol import encode, pb
+from linedeal.settings.cluster import Limits
+
+VERSION = 1
+WRITE_MOST = 65536      # bytes taken for one write: what is in it has left, so it is not all that waits
+
+
+class HostLink:
+    """One host's link over the life of a controller. The sync methods are for the loop that carries out effects."""
+
+    def __init__(self, listed: on.ListedHost, controller: str, life: int, net: Net, limits: Limits, inbox: Inbox,
+                 next_link, log):
+        self.listed, self.controller, self.life = listed, controller, life
+        self.net, self.limits, self.inbox, self.next_link, self.log = net, limits, inbox, next_link, log
+        self.outbox: deque = deque()
+        self.up = False
+        self.wake = anyio.Event()
+        self.written_at = self.heard_at = 0.0
+        self.scope = anyio.CancelScope()
+
+    # -- for the engine's effects
+
+    def open(self) -> None:
+        self.wake.set()
+
+    def launch(self, effect: do.SendLaunch) -> None:
+        if len(self.outbox) >= self.limits.link_queue:
+            self.inbox.put(on.Unsent(self.listed.id, (effect.number,)))
+            return
+        self.queue(effect)
+
+    def unsend(self, number: int) -> None:
+        for effect in self.outbox:
+            if isinstance(effect, do.SendLaunch) and effect.number == number:
+                self.outbox.remove(effect)
+                self.inbox.put(on.Unsent(self.listed.id, (number,)))
+                return
+
+    def stop(self, effect: do.SendStop) -> None:
+        if effect.launch.life == self.life:
+            self.unsend(effect.launch.number)
+        self.tell(effect)
+
+    def probe(self, effect: do.SendProbe) -> None:
+        if len(self.outbox) < self.limits.link_queue:
+            self.queue(effect)
+
+    def tell(self, effect) -> None:
+        """Only on a link that stands: a new one tells the engine all that it needs to say it again."""
+        if self.up:
+            self.queue(effect)
+
+    def queue(self, effect) -> None:
+        self.outbox.append(effect)
+        self.wake.set()
+
+    # -- the task
+
+    async def run_until_dropped(self) -> None:
+        with self.scope:
+            await self.run()
+
+    def cancel(self) -> None:
+        """The host is gone for good."""
+        self.scope.cancel()
+
+    async def run(self) -> None:
+        """Makes the link each time it is asked for, until cancelled."""
+        while True:
+            await self.wake.wait()
+            link, number, why = None, 0, ""
+            try:
+                link, welcome = await self.make()
+                number = self.next_number
+                await self.inbox.post(on.LinkUp(
+                    self.listed.id, number, welcome.boot, tuple(translate.held(item) for item in welcome.held),
+                    welcome.forgot))
+                await self.serve(link, number)
+            except LinkLost as error:
+                why = str(error)
+            finally:
+                self.up = False
+                if link is not None:
+                    await link.close()
+            self.log.debug("link down", host=self.listed.id, link=number, reason=why)
+            await self.down(number, why)
+
+    async def down(self, number: int, why: str) -> None:
+        waiting, self.outbox = self.outbox, deque()
+        self.wake = anyio.Event()
+        await self.inbox.post(on.LinkDown(
+            self.listed.id, number, tuple(e.number for e in waiting if isinstance(e, do.SendLaunch)),
+            tuple(e.number for e in waiting if isinstance(e, do.SendProbe)), why))
+
+    async def make(self) -> tuple[Link, pb.Welcome]:
+        """A link that the host has welcomed. Raises LinkLost; no launch has left by then."""
+        why = "it has no address"
+        for text in self.listed.addresses:
+            link = None
+            try:
+                with anyio.fail_after(self.limits.connect):
+                    link = Link(await self.net.connect(parse_address(text)))
+                    return link, await self.greet(link)
+            except TimeoutError:
+                why = f"{text}: no welcome within {self.limits.connect:g} s"
+            except (ValueError, LinkLost) as error:
+                why = f"{text}: {error}"
+            except LOST as error:
+                why = f"{text}: {reason(error)}"
+            except BaseException:
+                if link is not None:
+                    await link.close()
+                raise
+            if link is not None:
+                await link.close()
+        raise LinkLost(why)
+
+    async def greet(self, link: Link) -> pb.Welcome:
+        self.next_number = self.next_link()
+        await link.send(encode(pb.Hello(version=VERSION, role=pb.CONTROLLER, name=self.controller, life=self.life,
+                                        link=self.next_number)))
+        message = await link.receive()
+        if isinstance(message, pb.Bye) and message.fenced:
+            await self.inbox.post(on.Fenced(self.listed.id, message.reason[:200]))
+            raise LinkLost("fenced")
+        if not isinstance(message, pb.Welcome):
+            raise LinkLost(f"{type(message).__name__} in place of a welcome")
+        if message.name != self.listed.id:
+            raise LinkLost(f"host {message.name[:80]!r} answers there")     # an address that was given to another
+        return message
+
+    async def serve(self, link: Link, number: int) -> None:
+        self.up = True
+        self.heard_at = anyio.current_time()
+        self.written_at = 0.0
+        await until_lost(self.write(link, number), self.keep_alive(link), self.read(link))
+
+    async def read(self, link: Link) -> None:
+        while True:
+            messages = await link.receive_all()
+            self.heard_at = anyio.current_time()
+            events = [translate.host_said(self.listed.id, message) for message in messages]
+            await self.inbox.post(*[event for event in events if event is not None])
+
+    async def write(self, link: Link, number: int) -> None:
+        while True:
+            await self.wake.wait()
+            self.wake = anyio.Event()
+            while self.outbox:
+                data, numbers = self.gather()
+                if numbers:
+                    # told before the first byte goes: from here on it cannot be known that they did not arrive
+                    self.inbox.put(on.Left(self.listed.id, number, tuple(numbers)))
+                if self.written_at <= self.heard_at:
+                    self.written_at = anyio.current_time()
+                await link.send(data)
+
+    def gather(self) -> tuple[bytes, list[int]]:
+        """The bytes of the next write, and the launches in it."""
+        now, data, numbers = anyio.current_time(), bytearray(), []
+        while self.outbox and len(data) < WRITE_MOST:
+            effect = self.outbox.popleft()
+            match effect:
+                case do.SendLaunch(_, number, job, due):
+                    numbers.append(number)
+                    data += encode(pb.Offer(launch=self.own(number), job=translate.spec_of(job), wait=due - now))
+                case do.SendProbe(_, number):
+                    data += encode(pb.Probe(number=number))
+                case do.SendStop(_, launch):
+                    data += encode(pb.Stop(launch=self.own(*reversed(launch))))
+                case do.SendEndSeen(_, launch):
+                    data += encode(pb.EndSeen(launch=self.own(*reversed(launch))))
+        return bytes(data), numbers
+
+    def own(self, number: int, life: int = 0) -> pb.LaunchId:
+        return pb.LaunchId(controller=self.controller, life=life or self.life, number=number)
+
+    async def keep_alive(self, link: Link) -> None:
+        """Ends a link whose host has not said a word since we last wrote: half-open links look like this."""
+        while True:
+            await anyio.sleep(self.limits.link_silent / 4)
+            now = anyio.current_time()
+            if self.written_at <= self.heard_at:
+                continue
+            if now - self.written_at > self.limits.link_silent:
+                raise LinkLost(f"nothing heard for {now - self.heard_at:.1f} s")
+            if now - self.written_at > self.limits.link_silent / 2 and len(self.outbox) < self.limits.link_queue:
+                self.queue(do.SendProbe(self.listed.id, 0))
--- /dev/null
+++ b/linedeal/controller/runtime.py
@@ -0,0 +1,171 @@
+"""One life of a controller: the loop that turns the engine and carries out its effects, and the tasks around it."""
+
+import itertools
+import time
+from dataclasses import dataclass, replace
+
+import anyio
+import anyio.to_thread
+
+from linedeal.controller.front import Front
+from linedeal.controller.hostlink import HostLink
+from linedeal.controller.inbox import Inbox
+from linedeal.controller.watch import DiscoveryWatch
+from linedeal.engine import Engine
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
+from linedeal.interface import Mode
+from linedeal.net import Address, Net
+from linedeal.policy import Controller
+from linedeal.settings.cluster import Cluster
+from linedeal.state import Store, StoreFault
+
+KEEP_EVERY = 1.0        # seconds between two writes of the list
+TELL_EVERY = 10.0       # seconds between two lines that sum up
+
+
+class Halted(Exception):
+    """This life has to end; its text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Setup:
+    name: str
+    cluster: Cluster
+    listen: Address
+    discovery: Address
+    seed: int
+
+
+class Runtime:
+    def __init__(self, setup: Setup, store: Store, net: Net, log, policy=Controller):
+        self.setup, self.store, self.net = setup, store, net
+        self.life = store.next_life()       # on disk before anything of this life can be sent
+        self.log = log.bind(controller=setup.name, life=self.life)
+        self.policy = policy
+        self.links: dict[str, HostLink] = {}
+        self.kept: dict[str, on.ListedHost] = {}
+        self.kept_at, self.version, self.dirty = 0.0, 0, anyio.Event()
+        self.leaving = anyio.Event()
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        """Runs until `leave` is called or the life has to end (Halted). Tells the address that clients may use."""
+        limits, now = self.setup.cluster.limits, anyio.current_time()
+        self.engine = Engine(self.setup.cluster, self.setup.name, self.life, self.setup.seed + self.life, now,
+                             self.policy)
+        self.inbox = Inbox(self.engine.put)
+        self.front = Front(self.setup.name, self.net, limits, self.inbox, self.log)
+        self.watch = DiscoveryWatch(self.setup.discovery, self.setup.name, self.life, self.net, limits, self.inbox,
+                                    self.log)
+        numbers = itertools.count(1)
+        self.next_link = lambda: next(numbers)
+        async with anyio.create_task_group() as self.tasks:
+            self.remember(now)
+            for effect in self.engine.begin():
+                self.carry(effect)
+            self.tasks.start_soon(self.watch.run)
+            self.tasks.start_soon(self.keep_list)
+            self.tasks.start_soon(self.tell)
+            address = await self.tasks.start(self.front.run, self.setup.listen)
+            self.log.info("takes jobs", address=f"{address[0]}:{address[1]}")
+            task_status.started(address)
+            await self.turn_until_left()
+            self.tasks.cancel_scope.cancel()
+        self.store.close()
+
+    def leave(self) -> None:
+        """Take nothing new, answer what is held, and end; at the latest after `limits.leave` seconds."""
+        self.front.closing = True
+        self.leaving.set()
+        self.inbox.arrived.set()
+
+    def remember(self, now: float) -> None:
+        version, hosts = self.store.last_list(time.time())
+        if hosts:
+            self.log.info("starts from the list kept last", hosts=len(hosts), version=version)
+            self.engine.put(on.ListHeard(hosts, True, version, remembered=True))
+
+    async def turn_until_left(self) -> None:
+        ends = float("inf")
+        while True:
+            for effect in self.engine.turn(anyio.current_time()):
+                self.carry(effect)
+            if self.leaving.is_set():
+                ends = min(ends, anyio.current_time() + self.setup.cluster.limits.leave)
+                if not self.engine.taken or anyio.current_time() >= ends:
+                    await anyio.sleep(0.05)     # the last answers are on their way to the clients
+                    return
+            self.inbox.turned()
+            with anyio.move_on_at(min(self.engine.next_due(), ends)):
+                await self.inbox.arrived.wait()
+
+    def carry(self, effect) -> None:
+        kind = type(effect)
+        if kind in LINK_EFFECTS:
+            link = self.links.get(effect.host)
+            if link is not None:
+                LINK_EFFECTS[kind](link, effect)
+            elif kind is do.SendLaunch:
+                self.inbox.put(on.Unsent(effect.host, (effect.number,)))
+        elif kind in (do.Take, do.TurnAway, do.Answer):
+            self.front.send(effect.client, effect)
+        elif kind is do.KnowHost:
+            self.know(effect.host)
+        elif kind is do.DropHost:
+            link = self.links.pop(effect.host, None)
+            if link is not None:
+                link.cancel()
+        elif kind is do.Watch:
+            self.watch.ask()
+        elif kind is do.Note:
+            getattr(self.log, effect.level)(effect.event, **dict(effect.fields))
+        elif kind is do.Halt:
+            raise Halted(effect.reason)
+        else:
+            raise TypeError(f"nothing carries out {effect!r}")
+
+    # -- hosts
+
+    def know(self, listed: on.ListedHost) -> None:
+        link = self.links.get(listed.id)
+        if link is None:
+            link = self.links[listed.id] = HostLink(listed, self.setup.name, self.life, self.net,
+                                                    self.setup.cluster.limits, self.inbox, self.next_link, self.log)
+            self.tasks.start_soon(link.run_until_dropped)
+        link.listed = listed
+        old = self.kept.get(listed.id)
+        self.kept[listed.id] = listed
+        if old is None or replace(old, age=0.0, free_cores=None, free_memory=None) != replace(
+                listed, age=0.0, free_cores=None, free_memory=None):
+            self.dirty.set()
+
+    async def keep_list(self) -> None:
+        """Writes the list when hosts have come, gone or changed; figures of room alone are not worth a write."""
+        while True:
+            await self.dirty.wait()
+            self.dirty = anyio.Event()
+            hosts = tuple(host for host in self.kept.values()
+                          if host.id in self.links and host.mode is not Mode.GONE)
+            try:
+                await anyio.to_thread.run_sync(self.store.keep_list, time.time(), self.watch.version, hosts)
+            except StoreFault as error:     # the former list stays; jobs do not wait for a disk
+                self.log.error("list not kept", reason=str(error))
+            await anyio.sleep(KEEP_EVERY)
+
+    async def tell(self) -> None:
+        while True:
+            await anyio.sleep(TELL_EVERY)
+            counts = {name.replace(" ", "_"): value for name, value in self.engine.counts.items() if value}
+            self.log.info("at work", held=len(self.engine.taken), waiting=len(self.engine.module.waiting),
+                          clients=len(self.front.clients),
+                          links=sum(link.up for link in self.links.values()), hosts=len(self.links), **counts)
+
+
+LINK_EFFECTS = {
+    do.OpenLink: lambda link, effect: link.open(),
+    do.SendLaunch: HostLink.launch,
+    do.Unsend: lambda link, effect: link.unsend(effect.number),
+    do.SendStop: HostLink.stop,
+    do.SendEndSeen: HostLink.tell,
+    do.SendProbe: HostLink.probe,
+}
--- /dev/null
+++ b/linedeal/controller/watch.py
@@ -0,0 +1,82 @@
+"""The watch on discovery: each `Watch` is answered by a list, or by `ListFailed`."""
+
+import anyio
+
+from linedeal.controller import translate
+from linedeal.controller.inbox import Inbox
+from linedeal.engine import events as on
+from linedeal.net import Address, Link, LinkLost, Net, until_lost
+from linedeal.net.base import LOST, reason
+from linedeal.protocol import encode, pb
+from linedeal.settings.cluster import Limits
+
+VERSION = 1
+
+
+class DiscoveryWatch:
+    def __init__(self, address: Address, controller: str, life: int, net: Net, limits: Limits, inbox: Inbox, log):
+        self.address, self.controller, self.life = address, controller, life
+        self.net, self.limits, self.inbox, self.log = net, limits, inbox, log
+        self.wanted = anyio.Event()
+        self.version = 0            # of the list as applied; 0 asks for the whole
+        self.asked_at: float | None = None
+
+    def ask(self) -> None:
+        self.wanted.set()
+
+    async def run(self) -> None:
+        while True:
+            await self.wanted.wait()
+            link, why = None, ""
+            try:
+                with anyio.fail_after(self.limits.watch):
+                    link = Link(await self.net.connect(self.address))
+                    await link.send(encode(pb.Hello(version=VERSION, features=["zstd"], role=pb.CONTROLLER,
+                                                    name=self.controller, life=self.life)))
+                    welcome = await link.receive()
+                if not isinstance(welcome, pb.Welcome):
+                    raise LinkLost(f"{type(welcome).__name__} in place of a welcome")
+                await self.serve(link)
+            except LinkLost as error:
+                why = str(error)
+            except TimeoutError:
+                why = f"no welcome within {self.limits.watch:g} s"
+            except LOST as error:
+                why = reason(error)
+            finally:
+                if link is not None:
+                    await link.close()
+            self.log.debug("discovery lost", reason=why)
+            self.wanted = anyio.Event()
+            await self.inbox.post(on.ListFailed(why))
+
+    async def serve(self, link: Link) -> None:
+        await until_lost(self.write(link), self.read(link))
+
+    async def write(self, link: Link) -> None:
+        while True:
+            await self.wanted.wait()
+            self.wanted = anyio.Event()
+            self.asked_at = anyio.current_time()
+            await link.send(encode(pb.Watch(known_version=self.version)))
+            await anyio.sleep(self.limits.watch)
+            if self.asked_at is not None:
+                raise LinkLost(f"a watch was not answered within {self.limits.watch:g} s")
+
+    async def read(self, link: Link) -> None:
+        while True:
+            message = await link.receive()
+            if isinstance(message, pb.Bye):
+                raise LinkLost(f"told to go: {message.reason[:200]}")
+            if isinstance(message, pb.ListLost):
+                raise LinkLost(f"discovery: {message.reason[:200]}")
+            if not isinstance(message, pb.HostList):
+                raise LinkLost(f"discovery may not send {type(message).__name__}")
+            if not message.whole and message.since > self.version:
+                self.version = 0    # a change is missing: the next watch asks for the whole
+                self.wanted.set()
+                continue
+            self.asked_at = None
+            self.version = message.version
+            await self.inbox.post(on.ListHeard(tuple(translate.listed(entry) for entry in message.hosts),
+                                               message.whole, message.version))
--- /dev/null
+++ b/linedeal/net/base.py
@@ -0,0 +1,108 @@
+"""The seam between the program and the network."""
+
+from typing import Awaitable, Callable, NamedTuple, Protocol
+
+import anyio
+
+from linedeal.protocol import FrameError, FrameReader
+
+Address = tuple[str, int]
+
+
+class LinkLost(Exception):
+    """The other side is gone, or sends what cannot be followed; its text says which."""
+
+
+class Stream(Protocol):
+    """What anyio's byte streams have in common, over sockets and in memory."""
+
+    async def send(self, data: bytes) -> None: ...
+    async def receive(self) -> bytes: ...
+    async def aclose(self) -> None: ...
+
+
+class Net(Protocol):
+    async def connect(self, address: Address) -> Stream: ...
+
+    async def serve(self, address: Address, handle: Callable[[Stream], Awaitable[None]], *,
+                    task_status: anyio.abc.TaskStatus[Address]) -> None: ...
+
+
+LOST = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+
+
+class Bound(NamedTuple):
+    """Of what may wait to be written to one peer."""
+
+    frames: int
+    bytes: int
+
+
+class Link:
+    """Whole messages over one stream. Reading and writing may be in different tasks."""
+
+    def __init__(self, stream: Stream):
+        self.stream = stream
+        self.reader = FrameReader()
+        self.ready: list = []
+
+    async def receive(self):
+        """The next message that this version knows. Raises LinkLost when there will be none."""
+        while True:
+            while self.ready:
+                message = self.ready.pop(0)
+                if message is not None:     # of a later version: passed over
+                    return message
+            self.ready = await self.read()
+
+    async def receive_all(self) -> list:
+        """All messages that have arrived, one at least; those of a later version are left out."""
+        while True:
+            ready, self.ready = self.ready, []
+            ready = [message for message in ready if message is not None]
+            if ready:
+                return ready
+            self.ready = await self.read()
+
+    async def read(self) -> list:
+        try:
+            return list(self.reader.feed(await self.stream.receive()))
+        except FrameError as error:
+            raise LinkLost(f"bad frame: {error}") from None
+        except anyio.EndOfStream:
+            try:
+                self.reader.finish()
+            except FrameError as error:
+                raise LinkLost(str(error)) from None
+            raise LinkLost("closed by the other side") from None
+        except LOST as error:
+            raise LinkLost(reason(error)) from None
+
+    async def send(self, data: bytes) -> None:
+        """Frames as `protocol.encode` makes them."""
+        try:
+            await self.stream.send(data)
+        except LOST as error:
+            raise LinkLost(reason(error)) from None
+
+    async def close(self) -> None:
+        with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
+            await anyio.aclose_forcefully(self.stream)
+
+
+def reason(error: Exception) -> str:
+    """A plain word for what ended a link."""
+    cause = error.__cause__ or error
+    return getattr(cause, "strerror", None) or type(cause).__name__
+
+
+def parse_address(text: str) -> Address:
+    """`HOST:PORT`, or ValueError that says what is wrong.
+
+    >>> parse_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    return host, int(port)
--- /dev/null
+++ b/linedeal/net/memory.py
@@ -0,0 +1,45 @@
+"""Pipes in memory, for whole days in one process on a mock clock."""
+
+import anyio
+from anyio.streams.stapled import StapledObjectStream
+
+from linedeal.net.base import Address
+
+DEEP = 256      # chunks that one direction of a pipe holds before its writer waits
+
+
+def pipe() -> tuple[StapledObjectStream, StapledObjectStream]:
+    """Both ends of one link."""
+    there, here = anyio.create_memory_object_stream(DEEP), anyio.create_memory_object_stream(DEEP)
+    return StapledObjectStream(there[0], here[1]), StapledObjectStream(here[0], there[1])
+
+
+class MemoryNet:
+    """Addresses are names here; what listens at one is found at once."""
+
+    def __init__(self):
+        self.listeners: dict[Address, anyio.abc.ObjectSendStream] = {}
+
+    async def connect(self, address: Address) -> StapledObjectStream:
+        if address not in self.listeners:
+            raise ConnectionRefusedError(111, "nothing listens there")
+        near, far = pipe()
+        try:
+            self.listeners[address].send_nowait(far)
+        except (anyio.WouldBlock, anyio.BrokenResourceError):
+            raise ConnectionRefusedError(111, "nothing listens there") from None
+        return near
+
+    async def serve(self, address: Address, handle, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        if address in self.listeners:
+            raise OSError(98, "the address is in use")
+        incoming, accepted = anyio.create_memory_object_stream(DEEP)
+        self.listeners[address] = incoming
+        try:
+            task_status.started(address)
+            async with accepted, anyio.create_task_group() as tasks:
+                async for stream in accepted:
+                    tasks.start_soon(handle, stream)
+        finally:
+            del self.listeners[address]
+            incoming.close()
--- a/linedeal/settings/cluster.py
+++ b/linedeal/settings/cluster.py
@@ -37,7 +37,10 @@
     retry_after: float = 1.0    # told to who is turned away
     link_queue: int = 4096      # frames waiting for one host
     connect: float = 1.0        # seconds for a link to stand
+    link_silent: float = 4.0    # seconds after which a link whose host answers nothing counts as broken
+    watch: float = 2.0          # seconds for discovery to answer a watch
     probe: float = 1.0          # seconds for a probe's answer
+    leave: float = 10.0         # seconds that a controller told to end waits for the jobs it holds
     welcome_pace: float = 20.0  # hosts a second asked, after a start, what they hold
 
 
--- /dev/null
+++ b/linedeal/state/store.py
@@ -0,0 +1,82 @@
+"""A controller's directory: its life number and the last list of hosts, in SQLite.
+
+SQLite because what is kept is small, must survive a kill at any byte, and wants a lock so that two processes never
+share one directory; a file of our own would be a worse copy of its journal.
+"""
+
+import sqlite3
+from dataclasses import replace
+from pathlib import Path
+
+import msgspec
+
+from linedeal.engine.events import ListedHost
+
+FORMAT = 1
+
+
+class StoreFault(Exception):
+    """The directory cannot be used; its text is one plain line that names it."""
+
+
+class Store:
+    """Open it once a process; `close` it, or die: both leave it whole."""
+
+    def __init__(self, directory: str | Path):
+        path = Path(directory) / "controller.db"
+        self.path = path
+        try:
+            path.parent.mkdir(parents=True, exist_ok=True)
+            self.db = sqlite3.connect(path, timeout=0.5, isolation_level=None, check_same_thread=False)
+            self.db.execute("PRAGMA locking_mode=EXCLUSIVE")
+            self.db.execute("PRAGMA journal_mode=WAL")
+            self.db.execute("PRAGMA synchronous=FULL")      # a life number must outlive a loss of power too
+            self.db.execute("BEGIN EXCLUSIVE")              # takes the lock now, not at the first write
+            self.db.execute("CREATE TABLE IF NOT EXISTS kept (name TEXT PRIMARY KEY, value BLOB) STRICT")
+            self.db.execute("INSERT OR IGNORE INTO kept VALUES ('format', ?)", (msgspec.msgpack.encode(FORMAT),))
+            self.db.execute("COMMIT")
+        except sqlite3.OperationalError as error:
+            said = "another controller uses it" if "locked" in str(error) else str(error)
+            raise StoreFault(f"{path}: {said}") from None
+        except sqlite3.DatabaseError as error:
+            raise StoreFault(f"{path}: {error}") from None
+        except OSError as error:
+            raise StoreFault(f"{path.parent}: {error.strerror}") from None
+        found = self.get("format", int)
+        if found != FORMAT:
+            raise StoreFault(f"{path}: has format {found}, this version reads {FORMAT}")
+
+    def get(self, name: str, kind):
+        row = self.db.execute("SELECT value FROM kept WHERE name = ?", (name,)).fetchone()
+        try:
+            return None if row is None else msgspec.msgpack.decode(row[0], type=kind)
+        except msgspec.DecodeError as error:
+            raise StoreFault(f"{self.path}: {name} cannot be read: {error}") from None
+
+    def put(self, name: str, value) -> None:
+        try:
+            self.db.execute("INSERT INTO kept VALUES (?, ?) ON CONFLICT (name) DO UPDATE SET value = excluded.value",
+                            (name, msgspec.msgpack.encode(value)))
+        except sqlite3.Error as error:
+            raise StoreFault(f"{self.path}: {name} cannot be kept: {error}") from None
+
+    def next_life(self) -> int:
+        """A number larger than that of every life before; on disk when this returns."""
+        life = (self.get("life", int) or 0) + 1
+        self.put("life", life)
+        return life
+
+    def last_list(self, at: float) -> tuple[int, tuple[ListedHost, ...]]:
+        """The version and hosts of the list kept last; (0, ()) where there is none.
+
+        `at` is the time of day; hosts have grown older by what has passed since, or by nothing if clocks jumped.
+        """
+        kept_at, version, hosts = self.get("list", tuple[float, int, tuple[ListedHost, ...]]) or (at, 0, ())
+        passed = max(0.0, at - kept_at)
+        return version, tuple(replace(host, age=host.age + passed) for host in hosts)
+
+    def keep_list(self, at: float, version: int, hosts: tuple[ListedHost, ...]) -> None:
+        self.put("list", (at, version, hosts))
+
+    def close(self) -> None:
+        self.db.close()
