--- /dev/null
+++ b/linedeal/__main__.py
@@ -0,0 +1,3 @@
+from linedeal.cli import main
+
+main()
--- /dev/null
+++ b/linedeal/audit/traffic.py
@@ -0,0 +1,254 @@
+"""From recorded bytes to what each side said and was told, and when."""
+
+import base64
+from dataclasses import dataclass, field
+from typing import Iterable
+
+from linedeal.lab.record import Entry
+from linedeal.protocol import FrameError, FrameReader, pb
+
+NEVER = float("inf")
+
+
+@dataclass(slots=True, eq=False)
+class LaunchSeen:
+    controller: str
+    life: int
+    number: int
+    job: pb.JobSpec
+    host: str
+    t: float
+    wait: float
+    link: int
+    boot: int
+    held_back: bool             # a cut kept it when it came
+    link_end: float = NEVER
+    accepted: float = NEVER
+    started: float = NEVER
+    refused: float = NEVER
+    ended: float = NEVER
+    stopped: float = NEVER
+    lost: float = NEVER         # a later welcome of another boot, or the host told as gone
+    absent: float = NEVER       # a later welcome of the same boot that does not name it: it never ran
+    outcome: int = 0
+
+    @property
+    def never_ran(self) -> float:
+        """Since when it is known that it did not run."""
+        return min(self.refused if self.refused < self.started else NEVER, self.absent)
+
+
+@dataclass(slots=True, eq=False)
+class JobSeen:
+    id: str
+    controller: str
+    offering: str
+    customer: str
+    cores: float
+    key: str
+    link: int
+    taken: float
+    wait: float
+    answers: list[tuple[float, int]] = field(default_factory=list)
+    left: float = NEVER
+    launches: list[LaunchSeen] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class Told:
+    """What one life of a controller had been told of one host."""
+
+    modes: list[tuple[float, int]] = field(default_factory=list)
+    boots: dict[int, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class LinkSeen:
+    to: str
+    forth: FrameReader = field(default_factory=FrameReader)
+    back: FrameReader = field(default_factory=FrameReader)
+    hello: object = None
+    boot: int = 0
+    asks: dict[str, object] = field(default_factory=dict)
+    launches: list[LaunchSeen] = field(default_factory=list)
+    broken: bool = False
+
+
+@dataclass(slots=True)
+class Traffic:
+    """All that the rules are judged by."""
+
+    jobs: dict[str, JobSeen] = field(default_factory=dict)
+    launches: dict[tuple, LaunchSeen] = field(default_factory=dict)
+    told: dict[tuple, Told] = field(default_factory=dict)       # by controller, life, host
+    places: dict[str, tuple[str, int]] = field(default_factory=dict)    # zone and cell, by host
+    booted: dict[tuple[str, int], float] = field(default_factory=dict)  # by host and boot
+    marks: list[tuple[float, str, str]] = field(default_factory=list)
+    found: list[tuple] = field(default_factory=list)    # welcome's time, controller, life, launch of an earlier life
+    turned_away: int = 0
+    bad_frames: list[tuple[float, str, str]] = field(default_factory=list)
+    end: float = 0.0
+
+
+def gather(entries: Iterable[Entry]) -> Traffic:
+    """Reads a whole record."""
+    reader = Reader()
+    for entry in entries:
+        reader.take(entry)
+    # joined at the end: an offer may pass on its link before "taken" does on the client's
+    for launch in reader.traffic.launches.values():
+        job = reader.traffic.jobs.get(launch.job.id)
+        if job is not None:
+            job.launches.append(launch)
+    return reader.traffic
+
+
+class Reader:
+    def __init__(self):
+        self.traffic = Traffic()
+        self.links: dict[int, LinkSeen] = {}
+        self.life_hosts: dict[tuple, set[str]] = {}
+
+    def take(self, entry: Entry) -> None:
+        self.traffic.end = max(self.traffic.end, entry.t)
+        if entry.e == "mark":
+            self.traffic.marks.append((entry.t, entry.what, entry.who))
+        elif entry.e == "open":
+            self.links[entry.link] = LinkSeen(entry.to)
+        elif entry.e == "end":
+            self.ended(entry.t, self.links[entry.link])
+        else:
+            link = self.links[entry.link]
+            if link.broken:
+                return
+            reader = link.forth if entry.d == ">" else link.back
+            try:
+                for message in reader.feed(base64.b64decode(entry.b)):
+                    if message is not None:
+                        self.message(entry, link, message)
+            except FrameError as error:
+                link.broken = True
+                self.traffic.bad_frames.append((entry.t, link.to, str(error)))
+
+    def ended(self, t, link) -> None:
+        for launch in link.launches:
+            launch.link_end = min(launch.link_end, t)
+        for job in self.traffic.jobs.values() if link.hello and link.hello.role == pb.CLIENT else ():
+            if job.link == id(link):
+                job.left = min(job.left, t)
+
+    def message(self, entry, link, message) -> None:
+        if isinstance(message, pb.Hello) and entry.d == ">":
+            link.hello = message
+        elif link.hello is not None:
+            handler = HANDLERS.get((link.hello.role, entry.d, type(message)))
+            if handler is not None:
+                handler(self, entry, link, message)
+
+    # -- client and controller
+
+    def submit(self, entry, link, message) -> None:
+        link.asks[message.key] = message
+
+    def taken(self, entry, link, message) -> None:
+        ask = link.asks[message.key]
+        self.traffic.jobs[message.job] = JobSeen(
+            message.job, link.to, ask.job.offering, ask.job.customer, ask.job.cores, message.key, id(link), entry.t,
+            ask.wait)
+
+    def turned_away(self, entry, link, message) -> None:
+        self.traffic.turned_away += 1
+
+    def answer(self, entry, link, message) -> None:
+        job = self.traffic.jobs.get(message.job)
+        if job is not None:
+            job.answers.append((entry.t, message.verdict))
+
+    def take_back(self, entry, link, message) -> None:
+        for job in self.traffic.jobs.values():
+            if job.link == id(link) and job.key == message.key and not job.answers:
+                job.left = min(job.left, entry.t)
+
+    # -- controller and host
+
+    def find(self, launch) -> LaunchSeen | None:
+        return self.traffic.launches.get((launch.controller, launch.life, launch.number))
+
+    def offer(self, entry, link, message) -> None:
+        seen = LaunchSeen(message.launch.controller, message.launch.life, message.launch.number, message.job, link.to,
+                          entry.t, message.wait, entry.link, link.boot, entry.held)
+        self.traffic.launches[seen.controller, seen.life, seen.number] = seen
+        link.launches.append(seen)
+
+    def welcome(self, entry, link, message) -> None:
+        link.boot = message.boot
+        name, life, host = link.hello.name, link.hello.life, link.to
+        self.boot(host, message.boot, entry.t, message.age)
+        told = self.traffic.told.setdefault((name, life, host), Told())
+        told.boots.setdefault(message.boot, entry.t)
+        held = {(item.launch.life, item.launch.number): item for item in message.held}
+        for launch in self.traffic.launches.values():
+            if launch.controller != name or launch.host != host:
+                continue
+            item = held.get((launch.life, launch.number))
+            if item is None and launch.link != entry.link:
+                if message.boot != launch.boot:
+                    launch.lost = min(launch.lost, entry.t)
+                elif not message.forgot and launch.life == life:
+                    launch.absent = min(launch.absent, entry.t)
+            elif item is not None and item.phase == pb.OVER:
+                launch.ended, launch.outcome = min(launch.ended, entry.t), item.outcome
+            elif item is not None and item.phase in (pb.ACCEPTED, pb.RUNNING):
+                launch.accepted = min(launch.accepted, entry.t)
+                if item.phase == pb.RUNNING:
+                    launch.started = min(launch.started, entry.t)
+                if launch.life != life:
+                    self.traffic.found.append((entry.t, name, life, launch))
+
+    def boot(self, host, boot, t, age) -> None:
+        known = self.traffic.booted.get((host, boot), NEVER)
+        self.traffic.booted[host, boot] = min(known, t - age)
+
+    # -- discovery
+
+    def host_list(self, entry, link, message) -> None:
+        name, life = link.hello.name, link.hello.life
+        known = self.life_hosts.setdefault((name, life), set())
+        for item in message.hosts:
+            self.traffic.places[item.id] = (item.zone, item.cell)
+            self.boot(item.id, item.boot, entry.t, item.age)
+            told = self.traffic.told.setdefault((name, life, item.id), Told())
+            told.modes.append((entry.t, item.mode))
+            told.boots.setdefault(item.boot, entry.t)
+            known.add(item.id)
+        if message.whole:
+            for host in known - {item.id for item in message.hosts}:
+                self.traffic.told[name, life, host].modes.append((entry.t, pb.GONE))
+
+
+def said(what):
+    """A handler that notes when a host, or the controller itself, first said that of a launch."""
+
+    def handler(reader, entry, link, message):
+        launch = reader.find(message.launch)
+        if launch is not None and launch.host == link.to:
+            setattr(launch, what, min(getattr(launch, what), entry.t))
+            if what == "started":
+                launch.accepted = min(launch.accepted, entry.t)
+            elif what == "ended":
+                launch.outcome = message.outcome
+    return handler
+
+
+HANDLERS = {
+    (pb.CLIENT, ">", pb.Submit): Reader.submit, (pb.CLIENT, "<", pb.Taken): Reader.taken,
+    (pb.CLIENT, "<", pb.TurnedAway): Reader.turned_away, (pb.CLIENT, "<", pb.Answer): Reader.answer,
+    (pb.CLIENT, ">", pb.TakeBack): Reader.take_back,
+    (pb.CONTROLLER, ">", pb.Offer): Reader.offer, (pb.CONTROLLER, "<", pb.Welcome): Reader.welcome,
+    (pb.CONTROLLER, "<", pb.HostList): Reader.host_list,
+    (pb.CONTROLLER, "<", pb.Accepted): said("accepted"),
+    (pb.CONTROLLER, "<", pb.Refused): said("refused"),
+    (pb.CONTROLLER, "<", pb.Started): said("started"),
+    (pb.CONTROLLER, "<", pb.Ended): said("ended"),
+    (pb.CONTROLLER, ">", pb.Stop): said("stopped"),
+}
--- /dev/null
+++ b/linedeal/cli.py
@@ -0,0 +1,311 @@
+"""The command line. Each command is a few lines that read its arguments and call the package that does the work.
+
+Exit status: 0 done; 1 what was asked about does not hold (a rule broken, a job not placed, a faulty file);
+2 the command was given wrongly; 3 something outside failed (an address in use, a disk); 4 fenced off by a later life.
+"""
+
+import json
+import random
+import shutil
+import sys
+import time
+from pathlib import Path
+from typing import Annotated, Optional
+
+import anyio
+import typer
+
+from linedeal import logs, processes
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False, rich_markup_mode=None,
+                  help="linedeal places long-running jobs on a cluster's hosts.", epilog=__doc__.split("\n\n")[1])
+
+Listen = Annotated[str, typer.Option(help="HOST:PORT; port 0 takes a free one")]
+ClusterFile = Annotated[str, typer.Option("--cluster", help="the cluster's HCL file")]
+Control = Annotated[bool, typer.Option("--control", hidden=True, help="orders on standard input, end with it")]
+Json = Annotated[bool, typer.Option("--json", help="for programs")]
+Backend = Annotated[str, typer.Option(help="asyncio or trio")]
+
+
+class Fault(Exception):
+    """One plain line and the exit status that goes with it."""
+
+    def __init__(self, text: str, status: int):
+        super().__init__(text)
+        self.status = status
+
+
+def main() -> None:
+    """Runs the command line; faults end it with one plain line."""
+    from linedeal.controller.runtime import Halted
+    from linedeal.lab.day import DayFault
+    from linedeal.lab.processes import ProcessFault
+    from linedeal.lab.record import BadRecord
+    from linedeal.settings.cluster import ConfigFault
+    from linedeal.state import StoreFault
+    try:
+        app()
+    except BaseExceptionGroup as group:
+        error = processes.unwrap(group)
+    except Exception as caught:
+        error = caught
+    else:
+        return
+    statuses = ((Fault, getattr(error, "status", 2)), ((ConfigFault, DayFault, BadRecord), 1),
+                ((StoreFault, ProcessFault, OSError), 3), (Halted, 4))
+    status = next((status for kinds, status in statuses if isinstance(error, kinds)), None)
+    if status is None:
+        raise error     # a fault of the program: all of it is shown
+    print(f"linedeal: {error}", file=sys.stderr)
+    sys.exit(status)
+
+
+def address_of(text: str):
+    from linedeal.net import parse_address
+    try:
+        return parse_address(text)
+    except ValueError as error:
+        raise Fault(str(error), 2) from None
+
+
+def run(work, *args, backend: str = "asyncio"):
+    if backend not in ("asyncio", "trio"):
+        raise Fault(f"no backend {backend!r}, asyncio or trio", 2)
+    return anyio.run(work, *args, backend=backend)
+
+
+@app.command("check-config", epilog="Example: linedeal check-config examples/cluster.hcl")
+def check_config(file: str, as_json: Json = False):
+    """Names every fault of a cluster file, a line each; says nothing is wrong otherwise."""
+    from linedeal.settings.cluster import ConfigFault, read_cluster
+    try:
+        cluster = read_cluster(file)
+        faults = []
+    except ConfigFault as error:
+        faults = error.lines
+    if as_json:
+        print(json.dumps({"file": file, "faults": faults}))
+    elif faults:
+        print("\n".join(faults))
+    else:
+        print(f"{file}: sound: {len(cluster.settings.offerings)} offerings, {len(cluster.settings.kinds)} kinds, "
+              f"{len(cluster.settings.quotas)} customers")
+    raise typer.Exit(1 if faults else 0)
+
+
+@app.command(epilog="Example: linedeal controller --name c1 --cluster examples/cluster.hcl "
+                    "--discovery 127.0.0.1:7000 --state /var/lib/linedeal/c1 --listen 127.0.0.1:7100")
+def controller(name: Annotated[str, typer.Option(help="of this controller, the same in all its lives")],
+               cluster: ClusterFile, discovery: Annotated[str, typer.Option(help="HOST:PORT of discovery")],
+               state: Annotated[str, typer.Option(help="directory that this controller alone uses")],
+               listen: Listen = "127.0.0.1:0", seed: Annotated[Optional[int], typer.Option(help="of its chance")] = None,
+               as_json: Json = False, verbose: bool = False, backend: Backend = "asyncio", control: Control = False):
+    """A controller: takes jobs from clients, decides, launches them on hosts, answers.
+
+    SIGTERM ends it after the jobs that it holds are answered.
+    """
+    from linedeal.controller.runtime import Runtime, Setup
+    from linedeal.net import TcpNet
+    from linedeal.settings.cluster import read_cluster
+    from linedeal.state import Store
+    setup = Setup(name, read_cluster(cluster), address_of(listen), address_of(discovery),
+                  random.SystemRandom().randrange(1 << 30) if seed is None else seed)
+    runtime = Runtime(setup, Store(state), TcpNet(), logs.setup(as_json, verbose))
+
+    async def work():
+        async with anyio.create_task_group() as tasks:
+            async def serve():
+                await runtime.run(task_status=Told())
+                tasks.cancel_scope.cancel()
+            tasks.start_soon(serve)
+            tasks.start_soon(processes.until_told, runtime.leave)
+            if control:
+                await processes.take_orders(lambda order: None, runtime.log)
+                tasks.cancel_scope.cancel()
+
+    run(work, backend=backend)
+
+
+class Told:
+    """Stands where anyio wants a task's status: tells the address on standard output."""
+
+    def started(self, address=None):
+        processes.tell_address(address)
+
+
+async def serve_stand_in(server, listen, control: bool, log) -> None:
+    """A stand-in until it is told to end, or its standard input ends."""
+    async with anyio.create_task_group() as tasks:
+        async def serve():
+            await server.run(listen, task_status=Told())
+            log.error("fell over")
+            tasks.cancel_scope.cancel()
+        tasks.start_soon(serve)
+        tasks.start_soon(processes.until_told, tasks.cancel_scope.cancel)
+        if control:
+            await processes.take_orders(server.control, log)
+            tasks.cancel_scope.cancel()
+
+
+@app.command(epilog="Example: linedeal host --name h1 --kind std --zone a --cluster examples/cluster.hcl "
+                    "--discovery 127.0.0.1:7000")
+def host(name: Annotated[str, typer.Option()], kind: Annotated[str, typer.Option()], cluster: ClusterFile,
+         discovery: Annotated[str, typer.Option(help="HOST:PORT of discovery")], listen: Listen = "127.0.0.1:0",
+         zone: str = "a", cell: int = 0, seed: int = 1,
+         boot: Annotated[int, typer.Option(help="larger at each start; 0: by the clock")] = 0,
+         habits: Annotated[str, typer.Option(help="JSON, see docs/days.md")] = "{}",
+         advertise: Annotated[str, typer.Option(help="address that discovery tells; else the one it listens at")] = "",
+         young: bool = False, control: Control = False):
+    """A stand-in for a host: accepts, refuses, starts and ends jobs as a host would; nothing is really run."""
+    from random import Random
+    from linedeal.net import TcpNet
+    from linedeal.settings.cluster import read_cluster
+    from linedeal.standin.host import HostServer
+    from linedeal.standin.model import Habits, HostModel
+    log, settings = logs.setup(False, False), read_cluster(cluster)
+    if kind not in settings.settings.kinds:
+        raise Fault(f"no kind {kind!r} in {cluster}", 2)
+    try:
+        habit = Habits(**json.loads(habits))
+    except (ValueError, TypeError) as error:
+        raise Fault(f"--habits: {error}", 2) from None
+    boot = boot or time.time_ns() // 1_000_000
+
+    async def work():
+        model = HostModel(name, kind, settings, habit, boot, Random(f"{seed} {name} {boot}"), anyio.current_time(), young)
+        # under control the address that is told comes as an order: it is a route that does not stand yet
+        told = advertise or ("" if control else "itself")
+        server = HostServer(model, TcpNet(), address_of(discovery), told, zone, cell)
+        await serve_stand_in(server, address_of(listen), control, log)
+
+    run(work)
+
+
+@app.command()
+def discovery(listen: Listen = "127.0.0.1:0", control: Control = False):
+    """A stand-in for discovery: hosts tell it of themselves, controllers watch it."""
+    from linedeal.net import TcpNet
+    from linedeal.standin.discovery import Discovery
+
+    async def work():
+        await serve_stand_in(Discovery(TcpNet()), address_of(listen), control, logs.setup(False, False))
+
+    run(work)
+
+
+@app.command(hidden=True)
+def tap(record: Annotated[str, typer.Option()], control: Control = False):
+    """Stands between the others and records what passes; takes routes and cuts as orders on standard input."""
+    from linedeal.lab.record import Recorder
+    from linedeal.lab.tap import TapServer
+    from linedeal.net import TcpNet
+    log = logs.setup(False, False)
+
+    async def work():
+        server = TapServer(TcpNet(), Recorder(record))
+        async with anyio.create_task_group() as tasks:
+            async def route(name, to):
+                address = await tasks.start(server.route, name, address_of(to))
+                print(json.dumps({"route": [name, f"{address[0]}:{address[1]}"]}), flush=True)
+
+            def order(order):
+                if "route" in order:
+                    tasks.start_soon(route, *order["route"])
+                else:
+                    server.control(order)
+
+            processes.tell_address(("tap", 0))
+            tasks.start_soon(processes.until_told, tasks.cancel_scope.cancel)
+            if control:
+                await processes.take_orders(order, log)
+                tasks.cancel_scope.cancel()
+        server.recorder.flush()
+
+    run(work)
+
+
+@app.command(epilog="Example: linedeal submit --to 127.0.0.1:7100 course-reader --service readers --cores 2 --memory 4")
+def submit(offering: str, to: Annotated[str, typer.Option(help="HOST:PORT of a controller")],
+           service: str = "by-hand", customer: str = "", cores: float = 1.0, memory: float = 1.0,
+           wait: Annotated[float, typer.Option(help="seconds; 0: as long as the offering allows")] = 0.0,
+           as_json: Json = False):
+    """One job by hand; waits for its answer. Exit status 0 only if it was placed."""
+    from linedeal.client import Client, ClientLost, JobAsk, TurnedAway
+    from linedeal.net import TcpNet
+
+    async def work():
+        try:
+            async with Client.connect(TcpNet(), address_of(to), "submit") as client:
+                answer = await client.submit(JobAsk(offering, customer, service, cores, memory, wait))
+            return {"verdict": answer.verdict, "job": answer.job, "host": answer.host}
+        except* TurnedAway as group:
+            error = processes.unwrap(group)
+            return_value.update(verdict="turned away", reason=str(error), retry_after=error.retry_after)
+        except* ClientLost as group:
+            error = processes.unwrap(group)
+            return_value.update(verdict="lost", reason=str(error), may_have_run=error.taken)
+
+    return_value: dict = {}
+    found = run(work) or return_value
+    print(json.dumps(found) if as_json else ", ".join(f"{key} {value}" for key, value in found.items() if value != ""))
+    raise typer.Exit(0 if found["verdict"] == "placed" else 1)
+
+
+@app.command(epilog="Example: linedeal day examples/bad-day.day")
+def day(file: str, directory: Annotated[Optional[str], typer.Option(help="for records and logs, kept")] = None,
+        in_memory: Annotated[bool, typer.Option("--in-memory", help="one process, mock clock, faster than real time"
+                                                )] = False, as_json: Json = False):
+    """Plays a day file and judges what passed on the sockets. Exit status 0 only if all five rules were kept."""
+    from linedeal import audit
+    from linedeal.lab import play, report
+    from linedeal.lab.day import read_day
+    plan = read_day(file)
+    say = (lambda line: None) if as_json else (lambda line: print(line, flush=True))
+    if in_memory:
+        tally, entries = play.play_in_memory(plan, say)
+    else:
+        import tempfile
+        place = Path(directory) if directory else Path(tempfile.mkdtemp(prefix="linedeal-day-"))
+        tally, entries = run(play.play_processes, plan, place, say)
+    traffic = audit.gather(entries)
+    breaches = audit.judge(traffic, plan.cluster)
+    value = report.earned(traffic, plan.cluster, tally.asked)
+    if as_json:
+        print(json.dumps({"value": value, "ends": tally.ends, "jobs": len(traffic.jobs), "breaches": [
+            {"rule": b.rule, "t": b.t, "text": b.text} for b in breaches]}))
+    else:
+        print("", *report.lines(traffic, breaches), "", f"value earned of value asked: {value:.3f} (simulated hosts)",
+              sep="\n")
+    if not in_memory:
+        if not directory and not breaches:
+            shutil.rmtree(place)
+        elif not as_json:
+            print(f"record and logs: {place}")
+    raise typer.Exit(1 if breaches or not traffic.jobs else 0)
+
+
+@app.command("audit", epilog="Example: linedeal audit traffic.jsonl --cluster examples/cluster.hcl")
+def audit_record(record: str, cluster: ClusterFile, as_json: Json = False):
+    """Judges a record of traffic by the five rules. Exit status 0 only if all were kept."""
+    from linedeal import audit
+    from linedeal.lab import report
+    from linedeal.lab.record import read_record
+    from linedeal.settings.cluster import read_cluster
+    settings = read_cluster(cluster)
+    traffic = audit.gather(read_record(record))
+    breaches = audit.judge(traffic, settings)
+    if as_json:
+        print(json.dumps({"jobs": len(traffic.jobs), "breaches": [
+            {"rule": b.rule, "t": b.t, "text": b.text} for b in breaches]}))
+    else:
+        print(*report.lines(traffic, breaches), sep="\n")
+    raise typer.Exit(1 if breaches else 0)
+
+
+@app.command(epilog="Example: linedeal up --controllers 2 --hosts 6 --directory /tmp/trial")
+def up(directory: Annotated[str, typer.Option(help="for state, logs and the record of traffic")],
+       controllers: int = 2, hosts: int = 6,
+       cluster: Annotated[Optional[str], typer.Option(help="HCL file; the number of controllers in it is set here")] = None):
+    """A trial cluster in the foreground until Ctrl-C: N controllers, M stand-in hosts, discovery and the tap."""
+    from linedeal.lab.trial import trial
+    run(trial, Path(directory), controllers, hosts, cluster, lambda line: print(line, flush=True))
--- a/linedeal/controller/hostlink.py
+++ b/linedeal/controller/hostlink.py
@@ -88,8 +88,8 @@
                 link, welcome = await self.make()
                 number = self.next_number
                 await self.inbox.post(on.LinkUp(
-                    self.listed.id, number, welcome.boot, tuple(translate.held(item) for item in welcome.held),
-                    welcome.forgot))
+                    self.listed.id, number, welcome.boot, welcome.age,
+                    tuple(translate.held(item) for item in welcome.held), welcome.forgot))
                 await self.serve(link, number)
             except LinkLost as error:
                 why = str(error)
--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -96,8 +96,11 @@
                     await anyio.sleep(0.05)     # the last answers are on their way to the clients
                     return
             self.inbox.turned()
-            with anyio.move_on_at(min(self.engine.next_due(), ends)):
-                await self.inbox.arrived.wait()
+            await self.wait(min(self.engine.next_due(), ends))
+
+    async def wait(self, until: float) -> None:
+        with anyio.move_on_at(until):
+            await self.inbox.arrived.wait()
 
     def carry(self, effect) -> None:
         kind = type(effect)
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -7,7 +7,7 @@
 """
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from linedeal import interface as api
@@ -367,6 +367,9 @@
         if record is None:
             return
         record.link, record.boot, record.asked, record.tries = event.link, event.boot, True, 0
+        if event.boot > record.listed.boot:     # it has started again and no list has said so yet: it is young
+            reborn = replace(record.listed, boot=event.boot, age=event.age, free_cores=None, free_memory=None)
+            self.tell(api.HostsListed((self.fleet.hear(self.now, reborn),), False, remembered=True))
         held = {item.launch: item for item in event.held}
         for launch in list(record.launches.values()):
             if not launch.left and launch.id.life == self.life:
--- a/linedeal/engine/events.py
+++ b/linedeal/engine/events.py
@@ -113,6 +113,7 @@
     host: str
     link: int
     boot: int
+    age: float = 0.0            # seconds since that boot
     held: tuple[Held, ...] = ()
     forgot: bool = False
 
--- /dev/null
+++ b/linedeal/lab/load.py
@@ -0,0 +1,102 @@
+"""The owners of jobs: they submit, wait, and ask again where that is safe."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+
+from linedeal.client import Client, ClientLost, JobAsk, TurnedAway
+from linedeal.interface import Effect
+from linedeal.lab.day import Day, Stream
+from linedeal.net import Net
+
+TRIES = 4               # asks of one job, in all
+AGAIN = (0.3, 1.2)      # seconds before an owner asks again
+
+
+@dataclass(slots=True)
+class Tally:
+    """What the owners saw, by offering."""
+
+    asked: dict[str, int] = field(default_factory=dict)
+    ends: dict[str, dict[str, int]] = field(default_factory=dict)
+
+    def count(self, offering: str, end: str) -> None:
+        ends = self.ends.setdefault(offering, {})
+        ends[end] = ends.get(end, 0) + 1
+
+
+class Owners:
+    def __init__(self, day: Day, net: Net, addresses: dict[str, tuple], tally: Tally):
+        self.day, self.net, self.addresses, self.tally = day, net, addresses, tally
+        self.random = Random(day.seed * 1000 + 1)
+        self.links: dict[str, Client] = {}
+        self.factor = 1.0                       # a burst
+        self.heavy: dict[str, float] = {}       # offering: times the usual size
+        self.open = 0
+
+    async def run(self) -> None:
+        """Asks for the length of the day, then waits until all is answered."""
+        self.ends = anyio.current_time() + self.day.length
+        async with anyio.create_task_group() as links:
+            for name in self.addresses:
+                links.start_soon(self.keep_link, name)
+            async with anyio.create_task_group() as jobs:
+                for number, stream in enumerate(self.day.streams):
+                    jobs.start_soon(self.flow, jobs, stream, Random(self.day.seed * 1000 + 100 + number))
+            links.cancel_scope.cancel()
+
+    async def keep_link(self, name: str) -> None:
+        """One link to each controller, made again when it breaks."""
+        while True:
+            try:
+                async with Client.connect(self.net, self.addresses[name], "owners", 2.0) as client:
+                    self.links[name] = client
+                    while not client.lost:
+                        await anyio.sleep(0.05)
+            except ClientLost:
+                pass        # it is down; owners go to others meanwhile
+            finally:
+                self.links.pop(name, None)
+            await anyio.sleep(0.1)
+
+    async def flow(self, jobs, stream: Stream, random: Random) -> None:
+        at = anyio.current_time()
+        while True:
+            at += random.expovariate(stream.rate * self.factor)
+            if at > self.ends:
+                return
+            await anyio.sleep_until(at)
+            size = self.heavy.get(stream.offering, 1.0)
+            ask = JobAsk(stream.offering, random.choice(stream.customers),
+                         f"{stream.offering}-{random.randrange(stream.services)}",
+                         round(random.uniform(*stream.cores) * size, 2),
+                         round(random.uniform(*stream.memory) * size, 2))
+            jobs.start_soon(self.own, ask, Random(random.random()))
+
+    async def own(self, ask: JobAsk, random: Random) -> None:
+        """One job, from its first ask to where its owner leaves it."""
+        self.tally.asked[ask.offering] = self.tally.asked.get(ask.offering, 0) + 1
+        effect = self.day.cluster.settings.offerings[ask.offering].effect
+        end = "no controller"
+        for _ in range(TRIES):
+            names = sorted(self.links)
+            if not names:
+                await anyio.sleep(random.uniform(*AGAIN))
+                continue
+            client = self.links[random.choice(names)]
+            try:
+                end = (await client.submit(ask)).verdict
+            except TurnedAway as error:
+                end = "turned away"
+                await anyio.sleep(max(error.retry_after, random.uniform(*AGAIN)))
+                continue
+            except ClientLost as error:
+                end = "lost with its controller"
+                if error.taken and effect is not Effect.REDOABLE:
+                    break       # it may have run
+                continue
+            if end != "rejected" or anyio.current_time() > self.ends:
+                break
+            await anyio.sleep(random.uniform(*AGAIN))
+        self.tally.count(ask.offering, end)
--- /dev/null
+++ b/linedeal/lab/processes.py
@@ -0,0 +1,179 @@
+"""A cluster of processes on loopback sockets: what can die is a process of its own, and the tap is another."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from dataclasses import asdict
+from pathlib import Path
+from typing import Iterable
+
+import anyio
+import anyio.abc
+
+from linedeal.lab.day import ControllerSpec, Day, HostSpec
+from linedeal.net import parse_address
+
+READY = 20.0        # seconds for a process to say where it listens
+STARTS = 5          # tries, where its port is still taken
+
+
+class ProcessFault(Exception):
+    """A process of the cluster did not come up; its text names the process and its log."""
+
+
+class Processes:
+    """Use as an async context manager; leaving it ends every process that it started."""
+
+    def __init__(self, day: Day, directory: Path):
+        self.day, self.directory = day, directory
+        self.running: dict[str, anyio.abc.Process] = {}
+        self.commands: dict[str, list[str]] = {}
+        self.ports: dict[str, str] = {}         # where each really listens
+        self.routes: dict[str, str] = {}        # and where the tap listens for it
+        self.controllers: dict[str, tuple] = {}
+        self.host_specs: dict[str, HostSpec] = {}
+        self.boots: dict[str, int] = {}
+        self.tap_answers: dict[str, str] = {}
+        self.tap_told = anyio.Event()
+
+    async def __aenter__(self):
+        self.directory.mkdir(parents=True, exist_ok=True)
+        self.tasks = anyio.create_task_group()
+        await self.tasks.__aenter__()
+        try:
+            await self.spawn("tap", ["tap", "--record", str(self.directory / "traffic.jsonl"), "--control"])
+            await self.run("discovery", ["discovery", "--control"])
+            async with anyio.create_task_group() as starting:
+                for spec in self.day.hosts:
+                    starting.start_soon(self.start_host, spec, False)
+            await anyio.sleep(1.0)      # the first list is whole before a controller asks for it
+            async with anyio.create_task_group() as starting:
+                for spec in self.day.controllers:
+                    starting.start_soon(self.start_controller, spec)
+        except BaseException:
+            await self.end()
+            raise
+        return self
+
+    async def __aexit__(self, *error):
+        await self.end()
+
+    async def end(self) -> None:
+        with anyio.CancelScope(shield=True):
+            for name, process in self.running.items():
+                if process.returncode is None:
+                    process.send_signal(signal.SIGCONT)
+                    process.terminate() if name == "tap" else process.kill()
+            for process in self.running.values():
+                with anyio.move_on_after(5.0):
+                    await process.wait()
+        self.tasks.cancel_scope.cancel()
+        await self.tasks.__aexit__(None, None, None)
+
+    # -- starting
+
+    async def spawn(self, name: str, command: list[str]) -> str:
+        """Starts a process and returns the address that it tells on its first line."""
+        log = self.directory / f"{name}.log"
+        for _ in range(STARTS):
+            with open(log, "ab") as errors:
+                process = await anyio.open_process(
+                    [sys.executable, "-m", "linedeal", *command], stdin=subprocess.PIPE, stdout=subprocess.PIPE,
+                    stderr=errors, start_new_session=True)      # a Ctrl-C is ours to pass on
+            self.running[name] = process
+            line = b""
+            with anyio.move_on_after(READY):
+                try:
+                    while not line.endswith(b"\n"):
+                        line += await process.stdout.receive(1 if name != "tap" else 65536)
+                except anyio.EndOfStream:
+                    pass
+            if line.endswith(b"\n"):
+                if name == "tap":
+                    self.tasks.start_soon(self.hear_tap, process)
+                return json.loads(line)["address"]
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+            await anyio.sleep(0.2)
+        raise ProcessFault(f"{name} did not start, see {log}")
+
+    async def hear_tap(self, process) -> None:
+        rest = b""
+        try:
+            while True:
+                rest += await process.stdout.receive()
+                *lines, rest = rest.split(b"\n")
+                for line in lines:
+                    self.tap_answers.update([json.loads(line)["route"]])
+                    self.tap_told.set()
+                    self.tap_told = anyio.Event()
+        except (anyio.EndOfStream, anyio.ClosedResourceError):
+            pass
+
+    async def run(self, name: str, command: list[str]) -> None:
+        """Starts what listens, and a route through the tap to it."""
+        self.commands[name] = command
+        self.ports[name] = await self.spawn(name, [*command, "--listen", "127.0.0.1:0"])
+        await self.order("tap", {"route": [name, self.ports[name]]})
+        while name not in self.tap_answers:
+            await self.tap_told.wait()
+        self.routes[name] = self.tap_answers[name]
+
+    async def start_host(self, spec: HostSpec, young: bool) -> None:
+        self.host_specs[spec.name] = spec
+        self.boots[spec.name] = time.time_ns() // 1_000_000
+        await self.run(spec.name, self.host_command(spec, young))
+        await self.order(spec.name, {"advertise": self.routes[spec.name]})
+
+    def host_command(self, spec: HostSpec, young: bool) -> list[str]:
+        return ["host", "--name", spec.name, "--kind", spec.kind, "--zone", spec.zone, "--cell", str(spec.cell),
+                "--cluster", self.day.cluster_path, "--discovery", self.ports["discovery"], "--seed",
+                str(self.day.seed), "--boot", str(self.boots[spec.name]), "--habits", json.dumps(asdict(spec.habits)),
+                "--control", *(["--young"] if young else [])]
+
+    async def start_controller(self, spec: ControllerSpec) -> None:
+        await self.run(spec.name, [
+            "controller", "--name", spec.name, "--cluster", self.day.cluster_path, "--discovery",
+            self.routes["discovery"], "--state", str(self.directory / spec.name), "--seed", str(self.day.seed),
+            "--json", "--control"])
+        self.controllers[spec.name] = parse_address(self.routes[spec.name])
+
+    # -- what a day does
+
+    async def start(self, name: str) -> None:
+        """Again, at its old address; a host comes back young."""
+        command = self.commands[name]
+        if name in self.host_specs:
+            self.boots[name] = max(self.boots[name] + 1, time.time_ns() // 1_000_000)
+            command = self.host_command(self.host_specs[name], True) + ["--advertise", self.routes[name]]
+        await self.mark("start", name)
+        await self.spawn(name, [*command, "--listen", self.ports[name]])
+
+    async def kill(self, name: str) -> None:
+        await self.mark("kill", name)
+        process = self.running[name]
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+    async def stand(self, name: str, still: bool) -> None:
+        await self.mark("stop" if still else "continue", name)
+        os.kill(self.running[name].pid, signal.SIGSTOP if still else signal.SIGCONT)
+
+    async def order(self, name: str, order: dict) -> None:
+        process = self.running[name]
+        try:
+            await process.stdin.send(json.dumps(order).encode() + b"\n")
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            if name == "tap" or process.returncode is None:
+                raise ProcessFault(f"{name} takes no orders any more, see {self.directory / name}.log") from None
+
+    async def cut(self, pairs: Iterable[tuple[str, str]], on: bool) -> None:
+        await self.order("tap", {"cut" if on else "heal": list(pairs)})
+
+    async def mark(self, what: str, who: str) -> None:
+        await self.order("tap", {"mark": [what, who]})
--- a/linedeal/standin/host.py
+++ b/linedeal/standin/host.py
@@ -36,8 +36,9 @@
         async with anyio.create_task_group() as self.tasks:
             self.model.pass_time(anyio.current_time())
             address = await self.tasks.start(self.net.serve, listen, self.handle)
-            self.advertise = self.advertise or f"{address[0]}:{address[1]}"
             task_status.started(address)
+            if self.advertise == "itself":
+                self.advertise = f"{address[0]}:{address[1]}"
             if self.discovery:
                 self.tasks.start_soon(self.register)
             while not self.model.fallen:
@@ -120,7 +121,9 @@
             age=self.model.now_age, free_cores=figures["unasked_cores"], free_memory=figures["unasked_memory"])
 
     async def register(self) -> None:
-        """Tells discovery of itself for as long as it lives."""
+        """Tells discovery of itself for as long as it lives, once it has been told its address."""
+        while not self.advertise:
+            await anyio.sleep(0.02)
         while True:
             link = None
             try:
@@ -155,6 +158,8 @@
                 faults.refuses = set(value)
             elif name == "surge":
                 faults.surge = dict(value)
+            elif name == "advertise":
+                self.advertise = str(value)
             elif name == "flush":
                 self.model.programs.clear()
             else:
