--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -80,7 +80,7 @@
         self.inbox.arrived.set()
 
     def remember(self, now: float) -> None:
-        version, hosts = self.store.last_list(time.time())
+        version, hosts = self.store.last_list(self.time_of_day())
         if hosts:
             self.log.info("starts from the list kept last", hosts=len(hosts), version=version)
             self.engine.put(on.ListHeard(hosts, True, version, remembered=True))
@@ -150,11 +150,19 @@
             hosts = tuple(host for host in self.kept.values()
                           if host.id in self.links and host.mode is not Mode.GONE)
             try:
-                await anyio.to_thread.run_sync(self.store.keep_list, time.time(), self.watch.version, hosts)
+                await self.on_disk(self.store.keep_list, self.time_of_day(), self.watch.version, hosts)
             except StoreFault as error:     # the former list stays; jobs do not wait for a disk
                 self.log.error("list not kept", reason=str(error))
             await anyio.sleep(KEEP_EVERY)
 
+    # a day on a mock clock replaces these two: a thread or the real time of day would make each run another
+
+    async def on_disk(self, call, *args):
+        return await anyio.to_thread.run_sync(call, *args)
+
+    def time_of_day(self) -> float:
+        return time.time()
+
     async def tell(self) -> None:
         while True:
             await anyio.sleep(TELL_EVERY)
--- a/linedeal/lab/inprocess.py
+++ b/linedeal/lab/inprocess.py
@@ -23,10 +23,16 @@
 
 
 class Stallable(Runtime):
-    """Stands still between two turns when told to."""
+    """Stands still between two turns when told to; no threads, and no time but the day's."""
 
     still: anyio.Event | None = None
 
+    async def on_disk(self, call, *args):
+        return call(*args)
+
+    def time_of_day(self) -> float:
+        return anyio.current_time()
+
     async def wait(self, until: float) -> None:
         await super().wait(until)
         while self.still is not None:
--- a/linedeal/protocol/frames.py
+++ b/linedeal/protocol/frames.py
@@ -32,7 +32,7 @@
     [7]
     """
     try:
-        body = pb.Envelope(**{FIELDS[type(message)]: message}).SerializeToString()
+        body = pb.Envelope(**{FIELDS[type(message)]: message}).SerializeToString(deterministic=True)
     except EncodeError as error:
         raise FrameError(f"{type(message).__name__} cannot be encoded: {error}") from None
     form = PLAIN
