--- a/linedeal/lab/day.py
+++ b/linedeal/lab/day.py
@@ -132,8 +132,8 @@
     def guard(self, number, call) -> None:
         try:
             call()
-        except (ValueError, IndexError, KeyError) as error:
-            said = "too few words" if isinstance(error, IndexError) else str(error).strip("'\"")
+        except (ValueError, IndexError) as error:
+            said = "too few words" if isinstance(error, IndexError) else str(error)
             self.faults.append(f"{self.name}: line {number}: {said}")
 
     def line(self, number, words) -> None:
--- a/linedeal/settings/cluster.py
+++ b/linedeal/settings/cluster.py
@@ -107,7 +107,7 @@
                 label, body = next(((k, v) for k, v in item.items() if not k.startswith("__")), ("", None))
                 label = unquote(label)
             where = f"{key} {label}".strip()
-            if not isinstance(body, dict) or any(isinstance(v, dict) for k, v in body.items() if key in NAMED):
+            if not isinstance(body, dict) or any(isinstance(value, dict) for value in body.values()):
                 fault(where, "takes one name" if key in NAMED else "takes no name")
             elif label in blocks[key]:
                 fault(where, "stands twice")
--- /dev/null
+++ b/tests/drive.py
@@ -0,0 +1,108 @@
+"""Drives an engine by hand: events in, effects by kind out."""
+
+from linedeal import interface as api
+from linedeal.engine import Engine
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
+from linedeal.settings.cluster import parse_cluster
+
+CLUSTER = """
+cluster {
+  controllers = 1
+  confirms = "accepted"
+}
+young {
+  time = 10
+  offers = 4
+  span = 3
+}
+kind "std" {
+  cores = 10
+  memory = 20
+}
+offering "web" {
+  expiry = 6
+  effect = "redoable"
+}
+offering "mail" {
+  expiry = 6
+  effect = "labelled"
+  group = "zone"
+  window = 4
+}
+offering "feed" {
+  expiry = 6
+  effect = "irreversible"
+}
+offering "pair" {
+  expiry = 6
+  effect = "redoable"
+  spread = "host"
+  most = 1
+}
+limits {
+  held = 5
+}
+"""
+MINE = 3
+
+
+class Drive:
+    def __init__(self, hosts="ab", life=MINE):
+        self.engine = Engine(parse_cluster(CLUSTER), "c", life, 7, 0.0)
+        self.engine.begin()
+        self.links = {}
+        self.now = 0.0
+        self.list(hosts)
+        for host in hosts:
+            self.up(host, 1)
+
+    def turn(self, now, *events):
+        """Events at `now`, after the timers due before then; what those brought forth is kept in `rung`."""
+        self.rung = self.rest(now - 1e-6) if now > self.now else []
+        return self.jump(now, *events)
+
+    def jump(self, now, *events):
+        """As of a process that stood still: nothing rang meanwhile."""
+        self.now = now
+        for event in events:
+            self.engine.put(event)
+        return self.engine.turn(now)
+
+    def only(self, kind, effects):
+        return [effect for effect in effects if isinstance(effect, kind)]
+
+    def list(self, hosts, now=0.0, **changes):
+        fields = dict(addresses=("x",), kind="std", zone="z", cell=0, mode=api.Mode.SERVING, boot=1, age=100.0,
+                      free_cores=10.0, free_memory=20.0) | changes
+        return self.turn(now, on.ListHeard(tuple(on.ListedHost(host, **fields) for host in hosts), True, 1))
+
+    def up(self, host, boot, now=0.0, held=(), forgot=False, age=100.0):
+        self.links[host] = self.links.get(host, 0) + 1
+        return self.turn(now, on.LinkUp(host, self.links[host], boot, age, tuple(held), forgot))
+
+    def down(self, host, now, unsent=()):
+        return self.turn(now, on.LinkDown(host, self.links[host], tuple(unsent)))
+
+    def submit(self, now, offering="web", key="k", client=1, cores=1.0, service="s"):
+        return self.turn(now, on.Submitted(client, key, offering, "", service, cores, 1.0, 0.0))
+
+    def launched(self, now, offering="web", leave=True, **rest):
+        """A job whose launch is out; with `leave`, its frame has left."""
+        sent = self.only(do.SendLaunch, self.submit(now, offering, **rest))[0]
+        if leave:
+            self.turn(now, on.Left(sent.host, self.links[sent.host], (sent.number,)))
+        return sent
+
+    def said(self, kind, sent, now, *rest):
+        return self.turn(now, kind(sent.host, on.LaunchId(MINE, sent.number), *rest))
+
+    def verdicts(self, effects):
+        return [effect.verdict.value for effect in self.only(do.Answer, effects)]
+
+    def rest(self, until):
+        """Rings all timers up to then, each at its time."""
+        out = []
+        while self.engine.next_due() <= until:
+            out += self.jump(max(self.now, self.engine.next_due()))
+        return out + self.jump(until)
--- /dev/null
+++ b/tests/test_store_and_settings.py
@@ -0,0 +1,169 @@
+"""What lies on disk, and what is read at the start."""
+
+import sqlite3
+
+import pytest
+
+from linedeal.cli import app
+from linedeal.engine.events import ListedHost
+from linedeal.interface import Effect, Mode, Place
+from linedeal.lab.day import DayFault, parse_day
+from linedeal.settings.cluster import ConfigFault, parse_cluster, read_cluster
+from linedeal.state import Store, StoreFault
+
+HOST = ListedHost("h1", ("x:1",), "std", "z", 3, Mode.SERVING, 5, 100.0, 2.5, None)
+
+
+def test_each_life_has_a_larger_number(tmp_path):
+    lives = []
+    for _ in range(3):
+        store = Store(tmp_path)
+        lives.append(store.next_life())
+        store.close()
+    assert lives == [1, 2, 3]
+
+
+def test_a_life_number_is_kept_though_the_process_dies_at_once(tmp_path):
+    import subprocess
+    import sys
+    code = f"import os; from linedeal.state import Store; Store({str(tmp_path)!r}).next_life(); os._exit(9)"
+    subprocess.run([sys.executable, "-c", code], check=False)
+    assert Store(tmp_path).next_life() == 2
+
+
+def test_the_list_comes_back_older(tmp_path):
+    store = Store(tmp_path)
+    assert store.last_list(1000.0) == (0, ())
+    store.keep_list(1000.0, 7, (HOST,))
+    version, (host,) = store.last_list(1060.0)
+    assert version == 7 and host.age == 160.0 and host.free_memory is None
+    assert store.last_list(900.0)[1][0].age == 100.0      # the clock jumped back: no host grows younger
+
+
+def test_two_controllers_never_share_a_directory(tmp_path):
+    store = Store(tmp_path)
+    with pytest.raises(StoreFault, match="another controller uses it"):
+        Store(tmp_path)
+    store.close()
+    Store(tmp_path).close()
+
+
+def test_what_is_no_store_is_named(tmp_path):
+    (tmp_path / "controller.db").write_bytes(b"something else entirely" * 100)
+    with pytest.raises(StoreFault, match="controller.db: file is not a database"):
+        Store(tmp_path)
+
+
+def test_a_store_of_a_later_version_is_left_alone(tmp_path):
+    Store(tmp_path).close()
+    db = sqlite3.connect(tmp_path / "controller.db")
+    db.execute("UPDATE kept SET value = x'63' WHERE name = 'format'")
+    db.commit()
+    db.close()
+    with pytest.raises(StoreFault, match="format 99, this version reads 1"):
+        Store(tmp_path)
+
+
+def test_the_example_is_sound():
+    cluster = read_cluster("examples/cluster.hcl")
+    assert cluster.settings.offerings["photo-book"].effect is Effect.LABELLED
+    assert cluster.settings.offerings["photo-book"].group is Place.ZONE
+    assert cluster.settings.quotas == {"school": 120.0, "publisher": 160.0, "shop": 80.0}
+    assert cluster.limits.held == 20000
+
+
+def test_all_faults_are_named_at_once_with_block_and_nearest_key():
+    with pytest.raises(ConfigFault) as caught:
+        parse_cluster("""
+cluster { 
+  controlers = 3
+  may_probe = "yes"
+}
+ofering "a" {}
+kind "k" {
+  cores = "many"
+  memory = 1
+}
+kind "k" {
+  cores = 1
+  memory = 1
+}
+young "x" {
+}
+""", "f.hcl")
+    assert caught.value.lines == [
+        "f.hcl: cluster: unknown key controlers, the nearest known is controllers",
+        "f.hcl: cluster: controllers is missing",
+        "f.hcl: cluster: may_probe is not bool",
+        "f.hcl: ofering: unknown block, the nearest known is offering",
+        "f.hcl: kind k: cores is not a number",
+        "f.hcl: kind k: stands twice",
+        "f.hcl: young: takes no name",
+    ]
+
+
+def test_figures_that_cannot_be_are_named():
+    with pytest.raises(ConfigFault) as caught:
+        parse_cluster("""
+cluster {
+  controllers = 0
+}
+kind "k" {
+  cores = 0
+  memory = 1
+}
+offering "a" {
+  expiry = 5
+  effect = "labelled"
+  kind = "z"
+}
+limits {
+  held = 0
+}
+""", "f.hcl")
+    assert caught.value.lines == [
+        "f.hcl: cluster: controllers is 0, at least 1 is needed",
+        "f.hcl: kind k: cores is 0, over 0 is needed",
+        "f.hcl: offering a: window is 0, over 0 is needed",
+        "f.hcl: offering a: group is missing, a labelled offering needs one",
+        "f.hcl: offering a: kind names 'z', which is no kind",
+        "f.hcl: limits: held is 0, over 0 is needed",
+    ]
+
+
+@pytest.mark.parametrize("text, said", [
+    ("cluster {\n x = \n}", "f.hcl: line 2: not HCL"), ("cluster = 3", "f.hcl: cluster: is a block, not a value"),
+    ("x = " + "[" * 5000 + "]" * 5000, "f.hcl: not HCL: nested too deep")])
+def test_what_is_no_hcl_is_one_plain_line(text, said):
+    with pytest.raises(ConfigFault) as caught:
+        parse_cluster(text, "f.hcl")
+    assert caught.value.lines[0].startswith(said) and "\n" not in caught.value.lines[0]
+
+
+def test_a_day_names_all_its_faults():
+    with pytest.raises(DayFault) as caught:
+        parse_day("cluster examples/cluster.hcl\ncontrollers 3\nhosts 2 kind std\nhosts 1 kind lead\n"
+                  "load course-reader 2 cups=3\nload poster 1\nat 3 kill h09 for 2\nat 4 mute h01\n"
+                  "at 5 dance h01\nat x kill h01\nat 6 kill\nhabit starts=a", "d.day")
+    assert caught.value.lines == [
+        "d.day: line 5: unknown figure cups",
+        "d.day: line 12: invalid literal for int() with base 10: 'a'",
+        "d.day: line 7: no host or controller h09",
+        "d.day: line 8: mute needs: for SECONDS",
+        "d.day: line 9: unknown verb dance",
+        "d.day: line 10: could not convert string to float: 'x'",
+        "d.day: line 11: too few words",
+        "d.day: hosts: no kind lead in the cluster",
+        "d.day: load: no offering poster in the cluster",
+        "d.day: 3 controllers, the cluster states 4",
+    ]
+
+
+def test_check_config_says_it_on_the_command_line(tmp_path, capsys):
+    from typer.testing import CliRunner
+    assert CliRunner().invoke(app, ["check-config", "examples/cluster.hcl"]).exit_code == 0
+    bad = tmp_path / "bad.hcl"
+    bad.write_text("cluster {\n}\n")
+    result = CliRunner().invoke(app, ["check-config", str(bad)])
+    assert result.exit_code == 1
+    assert result.output.splitlines()[0] == f"{bad}: cluster: controllers is missing"
