--- a/linedeal/controller/hostlink.py
+++ b/linedeal/controller/hostlink.py
@@ -104,8 +104,7 @@
         waiting, self.outbox = self.outbox, deque()
         self.wake = anyio.Event()
         await self.inbox.post(on.LinkDown(
-            self.listed.id, number, tuple(e.number for e in waiting if isinstance(e, do.SendLaunch)),
-            tuple(e.number for e in waiting if isinstance(e, do.SendProbe)), why))
+            self.listed.id, number, tuple(e.number for e in waiting if isinstance(e, do.SendLaunch)), why))
 
     async def make(self) -> tuple[Link, pb.Welcome]:
         """A link that the host has welcomed. Raises LinkLost; no launch has left by then."""
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -408,7 +408,8 @@
             self.tell(api.JobFound(item.job, host))
 
     def link_down(self, event: on.LinkDown) -> None:
-        for number in event.probes:
+        # those that left on it are lost with it: told now, they count as one silence with the break, not as a second
+        for number in [number for number, host in self.probes.items() if host == event.host]:
             self.probe_due(number)
         record = self.fleet.hosts.get(event.host)
         if record is None:
--- a/linedeal/engine/events.py
+++ b/linedeal/engine/events.py
@@ -120,12 +120,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkDown:
-    """The link has ended, or was never made (link 0); `unsent` launches and probes never began to leave."""
+    """The link has ended, or was never made (link 0); `unsent` launches never began to leave."""
 
     host: str
     link: int
     unsent: tuple[int, ...] = ()
-    probes: tuple[int, ...] = ()
     reason: str = ""
 
 
