--- /dev/null
+++ b/benchmarks/bad_days.py
@@ -0,0 +1,104 @@
+"""Value earned of value asked on bad days, by kind of trouble: linedeal's module beside two baselines.
+
+Days in memory on a mock clock: 20 s of load, 3 controllers, 12 stand-in hosts, seeds 1 to 3. The baselines keep the
+gate, so that the rules hold, and choose otherwise: one by chance, one by most room alone.
+"""
+
+import statistics
+import sys
+import tempfile
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+from linedeal import audit
+from linedeal.lab import report
+from linedeal.lab.day import parse_day
+from linedeal.lab.play import play_in_memory
+from linedeal.policy import Controller
+
+CLUSTER = Path("examples/cluster.hcl").read_text().replace("controllers    = 4", "controllers    = 3")
+SET = """
+cluster cluster.hcl
+length 20
+controllers 3 zones a b c
+habit setup=0.6 life=8 kept=4
+hosts 9 kind std zones a b c cells 3
+hosts 3 kind press zones a b c cells 3
+load course-reader 5 cores=1-4 memory=2-12 services=10 customers=school,publisher,shop
+load photo-book 3 cores=1-3 memory=2-8 services=6 customers=shop,publisher
+load press-feed 1.5 cores=2-5 memory=4-12 services=4 customers=publisher
+"""
+DAYS = {
+    "quiet": [],
+    "hosts killed": ["at 4 kill h01,h05,h10 for 6"],
+    "rack restarts": ["at 5 kill cell:0 for 1", "at 5 kill cell:1 for 1"],
+    "hosts frozen": ["at 4 stop h02,h06 for 6"],
+    "zone cut": ["at 5 cut zone:a from zone:b for 6"],
+    "answers lost": ["at 4 mute h03,h11 for 8"],
+    "slow answers": ["at 4 slow h01,h02,h03 0.8 for 8"],
+    "errors": ["at 4 errors h04,h05 course-reader for 8"],
+    "customer refused": ["at 4 refuse h01,h02 school for 8"],
+    "programs lost": ["at 6 flush hosts", "at 12 flush hosts"],
+    "shrink": ["at 5 drain h07,h08,h09 for 4"],
+    "growth": ["at 3 burst 1.6 for 12", "at 6 grow 3 std a"],
+    "deploy": ["habit drain=at_once", "at 4 deploy h01,h02,h03,h04,h05,h06 34"],
+    "controllers killed": ["at 5 kill c1 for 3", "at 10 kill c2 for 3"],
+    "controller stalled": ["at 5 stop c1 for 5"],
+    "discovery down": ["at 3 discovery down for 10", "at 5 kill h03 for 4"],
+    "burst": ["at 5 burst 2.5 for 6"],
+    "service surges": ["at 4 surge course-reader-1 2.5 for 10"],
+    "heavy tail": ["at 4 heavy photo-book 3 for 10"],
+    "half-speed hosts": ["at 3 pace h01,h02,h03 0.3 for 12"],
+}
+
+
+class ByChance(Controller):
+    """Any host that the gate allows and that has room."""
+
+    def choose(self, track):
+        self.usual_load()
+        fit = [h for h in self.hosts.values() if h.full_until <= self.now and self.allowed(track, h)
+               and self.room(track, h) >= 0]
+        return self.random.choice(fit) if fit else None
+
+
+class MostRoom(Controller):
+    """The host with most room of those that the gate allows."""
+
+    def choose(self, track):
+        self.usual_load()
+        fit = [(self.room(track, h), h) for h in self.hosts.values()
+               if h.full_until <= self.now and self.allowed(track, h)]
+        fit = [pair for pair in fit if pair[0] >= 0]
+        return max(fit, key=lambda pair: pair[0])[1] if fit else None
+
+
+POLICIES = {"linedeal": Controller, "random": ByChance, "most room": MostRoom}
+
+
+def one(job):
+    trouble, policy, seed = job
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory)
+        (path / "cluster.hcl").write_text(CLUSTER)
+        day = parse_day(SET + f"seed {seed}\n" + "\n".join(DAYS[trouble]), "bad.day", path)
+        tally, entries = play_in_memory(day, policy=POLICIES[policy])
+    traffic = audit.gather(entries)
+    return job, report.earned(traffic, day.cluster, tally.asked), len(audit.judge(traffic, day.cluster))
+
+
+def main():
+    jobs = [(trouble, policy, seed) for trouble in DAYS for policy in POLICIES for seed in (1, 2, 3)]
+    with ProcessPoolExecutor(max_workers=int(sys.argv[1]) if len(sys.argv) > 1 else 6) as pool:
+        results = list(pool.map(one, jobs))
+    print(f"{'trouble':<20}" + "".join(f"{name:>12}" for name in POLICIES) + f"{'to random':>12}{'breaches':>10}")
+    for trouble in DAYS:
+        means = {policy: statistics.mean(value for (t, p, _), value, _ in results if (t, p) == (trouble, policy))
+                 for policy in POLICIES}
+        broken = sum(count for (t, p, _), _, count in results if (t, p) == (trouble, "linedeal"))
+        print(f"{trouble:<20}" + "".join(f"{means[name]:>12.3f}" for name in POLICIES)
+              + f"{means['linedeal'] / means['random']:>12.2f}{broken:>10}")
+
+
+if __name__ == "__main__":
+    main()
--- a/linedeal/audit/rules.py
+++ b/linedeal/audit/rules.py
@@ -25,7 +25,7 @@
 
 def judge(traffic: Traffic, cluster: Cluster) -> list[Breach]:
     """Every breach, in order of rule and time; empty when all five were kept."""
-    found: list[Breach] = []
+    found = [Breach(rule, t, text) for t, rule, text in traffic.doubled]
     for job in traffic.jobs.values():
         found += answered_once(traffic, cluster, job)
         found += no_effect_twice(traffic, cluster, job)
@@ -148,7 +148,7 @@
         times = [launch.t for launch in sent]
         for end, launch in enumerate(sent):
             span = sent[bisect_right(times, launch.t - settings.young_span):end + 1]
-            told = [l for l in span if l.t > boots_told(traffic, l).get(boot, NEVER)]
+            told = [l for l in span if l.t >= boots_told(traffic, l).get(boot, NEVER)]
             if len(span) > settings.young_limit and 3 * len(told) >= 2 * len(span):
                 yield Breach(4, launch.t, f"{host} was offered {len(span)} jobs within {settings.young_span:g} s, "
                                           f"{launch.t - traffic.booted[host, boot]:.1f} s after its start")
--- a/linedeal/audit/traffic.py
+++ b/linedeal/audit/traffic.py
@@ -86,6 +86,7 @@
     marks: list[tuple[float, str, str]] = field(default_factory=list)
     found: list[tuple] = field(default_factory=list)    # welcome's time, controller, life, launch of an earlier life
     turned_away: int = 0
+    doubled: list[tuple[float, int, str]] = field(default_factory=list)     # numbers used twice: time, rule, what
     bad_frames: list[tuple[float, str, str]] = field(default_factory=list)
     end: float = 0.0
 
@@ -152,6 +153,8 @@
 
     def taken(self, entry, link, message) -> None:
         ask = link.asks[message.key]
+        if message.job in self.traffic.jobs:
+            self.traffic.doubled.append((entry.t, 1, f"{message.job} was taken twice"))
         self.traffic.jobs[message.job] = JobSeen(
             message.job, link.to, ask.job.offering, ask.job.customer, ask.job.cores, message.key, id(link), entry.t,
             ask.wait)
@@ -177,7 +180,11 @@
     def offer(self, entry, link, message) -> None:
         seen = LaunchSeen(message.launch.controller, message.launch.life, message.launch.number, message.job, link.to,
                           entry.t, message.wait, entry.link, link.boot, entry.held)
-        self.traffic.launches[seen.controller, seen.life, seen.number] = seen
+        key = seen.controller, seen.life, seen.number
+        if key in self.traffic.launches:
+            self.traffic.doubled.append((entry.t, 2, f"launch {key[1]}.{key[2]} of {key[0]} was sent twice, to "
+                                                     f"{self.traffic.launches[key].host} and {seen.host}"))
+        self.traffic.launches[key] = seen
         link.launches.append(seen)
 
     def welcome(self, entry, link, message) -> None:
--- a/linedeal/controller/hostlink.py
+++ b/linedeal/controller/hostlink.py
@@ -11,6 +11,7 @@
 from linedeal.controller.inbox import Inbox
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
+from linedeal.interface import Mode
 from linedeal.net import Link, LinkLost, Net, parse_address, until_lost
 from linedeal.net.base import LOST, reason
 from linedeal.protocol import encode, pb
@@ -29,6 +30,7 @@
         self.net, self.limits, self.inbox, self.next_link, self.log = net, limits, inbox, next_link, log
         self.outbox: deque = deque()
         self.up = False
+        self.boot = 0               # of the host at the other end
         self.wake = anyio.Event()
         self.written_at = self.heard_at = 0.0
         self.scope = anyio.CancelScope()
@@ -44,6 +46,19 @@
             return
         self.queue(effect)
 
+    def relist(self, listed: on.ListedHost) -> None:
+        """What a newer list says of the host. Launches that still wait for one that drains go back."""
+        self.listed = listed
+        if listed.mode is not Mode.SERVING:
+            self.keep_back()
+
+    def keep_back(self) -> None:
+        """Hands all launches back that have not begun to leave: what they were decided on holds no more."""
+        numbers = tuple(effect.number for effect in self.outbox if isinstance(effect, do.SendLaunch))
+        if numbers:
+            self.outbox = deque(effect for effect in self.outbox if not isinstance(effect, do.SendLaunch))
+            self.inbox.put(on.Unsent(self.listed.id, numbers))
+
     def unsend(self, number: int) -> None:
         for effect in self.outbox:
             if isinstance(effect, do.SendLaunch) and effect.number == number:
@@ -90,6 +105,7 @@
                 await self.inbox.post(on.LinkUp(
                     self.listed.id, number, welcome.boot, welcome.age,
                     tuple(translate.held(item) for item in welcome.held), welcome.forgot))
+                self.boot = welcome.boot
                 await self.serve(link, number)
             except LinkLost as error:
                 why = str(error)
@@ -162,6 +178,8 @@
             self.wake = anyio.Event()
             while self.outbox:
                 data, numbers = self.gather()
+                if not data:
+                    continue
                 if numbers:
                     # told before the first byte goes: from here on it cannot be known that they did not arrive
                     self.inbox.put(on.Left(self.listed.id, number, tuple(numbers)))
@@ -175,6 +193,10 @@
         while self.outbox and len(data) < WRITE_MOST:
             effect = self.outbox.popleft()
             match effect:
+                case do.SendLaunch(_, number, _, _, boot) if boot != self.boot:
+                    # guards against a host that started again since: what was meant for a warm host would all reach
+                    # a cold one at once, past the gate that paces sends to young hosts
+                    self.inbox.put(on.Unsent(self.listed.id, (number,)))
                 case do.SendLaunch(_, number, job, due):
                     numbers.append(number)
                     data += encode(pb.Offer(launch=self.own(number), job=translate.spec_of(job), wait=due - now))
--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -135,7 +135,7 @@
             link = self.links[listed.id] = HostLink(listed, self.setup.name, self.life, self.net,
                                                     self.setup.cluster.limits, self.inbox, self.next_link, self.log)
             self.tasks.start_soon(link.run_until_dropped)
-        link.listed = listed
+        link.relist(listed)
         old = self.kept.get(listed.id)
         self.kept[listed.id] = listed
         if old is None or replace(old, age=0.0, free_cores=None, free_memory=None) != replace(
--- a/linedeal/engine/effects.py
+++ b/linedeal/engine/effects.py
@@ -40,6 +40,7 @@
     number: int
     job: Job
     due: float                  # when it is given up
+    boot: int                   # of the host, as it was known when this was decided
 
 
 @dataclass(frozen=True, slots=True)
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -204,6 +204,8 @@
         taken, record = self.taken.get(job_id), self.fleet.hosts.get(host)
         if taken is None or job_id in self.by_job:
             raise BrokenPromise(f"a launch of {job_id}, which is {'out' if taken else 'answered'} already")
+        if record is None:
+            raise BrokenPromise(f"a launch of {job_id} on {host}, which no list names")
         self.numbers += 1
         launch = Launch(on.LaunchId(self.life, self.numbers), taken.job,
                         self.cluster.settings.offerings[taken.job.offering].effect, host, self.now + wait)
@@ -211,7 +213,7 @@
         record.launches[launch.id] = launch
         self.counts["launches"] += 1
         self.timers.arm(launch.due, "launch", launch.id)
-        self.out.append(do.SendLaunch(host, launch.id.number, taken.job, launch.due))
+        self.out.append(do.SendLaunch(host, launch.id.number, taken.job, launch.due, record.listed.boot))
 
     def stop(self, launch: Launch) -> None:
         self.out.append(do.SendStop(launch.host, launch.id))
--- a/linedeal/lab/load.py
+++ b/linedeal/lab/load.py
@@ -12,6 +12,7 @@
 
 TRIES = 4               # asks of one job, in all
 AGAIN = (0.3, 1.2)      # seconds before an owner asks again
+PATIENCE = 10.0         # seconds past a job's expiry after which its owner goes home
 
 
 @dataclass(slots=True)
@@ -77,7 +78,8 @@
     async def own(self, ask: JobAsk, random: Random) -> None:
         """One job, from its first ask to where its owner leaves it."""
         self.tally.asked[ask.offering] = self.tally.asked.get(ask.offering, 0) + 1
-        effect = self.day.cluster.settings.offerings[ask.offering].effect
+        offering = self.day.cluster.settings.offerings[ask.offering]
+        effect, expiry = offering.effect, offering.expiry
         end = "no controller"
         for _ in range(TRIES):
             names = sorted(self.links)
@@ -86,7 +88,9 @@
                 continue
             client = self.links[random.choice(names)]
             try:
-                end = (await client.submit(ask)).verdict
+                end = "no answer"
+                with anyio.move_on_after(expiry + PATIENCE):    # a controller that owes it for ever is not waited for
+                    end = (await client.submit(ask)).verdict
             except TurnedAway as error:
                 end = "turned away"
                 await anyio.sleep(max(error.retry_after, random.uniform(*AGAIN)))
--- /dev/null
+++ b/tests/test_days.py
@@ -0,0 +1,218 @@
+"""Whole days in memory on a mock clock: the hard cases keep the rules, and a controller that lacks a guard is caught."""
+
+import pytest
+
+from linedeal import audit
+from linedeal.controller import runtime
+from linedeal.engine import Engine
+from linedeal.engine import effects as do
+from linedeal.engine.engine import BrokenPromise
+from linedeal.engine import launches
+from linedeal.engine.launches import State
+from linedeal.interface import Mode, Result
+from linedeal.lab.day import parse_day, read_day
+from linedeal.lab.play import play_in_memory
+from linedeal.policy import Controller
+from linedeal.protocol import pb
+from linedeal.state import Store
+
+CLUSTER = """
+cluster {
+  controllers = 2
+}
+young {
+  time = 6
+  offers = 6
+  span = 2
+}
+kind "std" {
+  cores = 16
+  memory = 64
+}
+offering "web" {
+  expiry = 5
+  effect = "redoable"
+}
+offering "mail" {
+  expiry = 6
+  effect = "labelled"
+  group = "zone"
+  window = 4
+  spread = "host"
+  most = 1
+}
+offering "feed" {
+  expiry = 6
+  effect = "irreversible"
+}
+"""
+SET = """
+cluster cluster.hcl
+seed 3
+length 9
+controllers 2 zones a b
+habit setup=0.3 life=4
+hosts 6 kind std zones a b cells 3
+load web 4 services=6
+load mail 2 services=6
+load feed 2 services=3
+"""
+
+
+def day_of(tmp_path, *orders):
+    (tmp_path / "cluster.hcl").write_text(CLUSTER)
+    return parse_day(SET + "\n".join(orders), "test.day", tmp_path)
+
+
+def played(day, **rest):
+    tally, entries = play_in_memory(day, **rest)
+    traffic = audit.gather(entries)
+    return traffic, audit.judge(traffic, day.cluster), tally
+
+
+def offers(traffic, host, since=0.0, until=1e9):
+    return [l for l in traffic.launches.values() if l.host == host and since <= l.t < until]
+
+
+def start_of(traffic, what, who):
+    return next(t for t, w, name in traffic.marks if (w, name) == (what, who))
+
+
+CASES = {
+    "a host accepts and dies before its yes arrives": (
+        ["at 2 slow h01,h02,h03 0.3 for 4", "at 3 kill h01,h02,h03 for 1"],
+        lambda t: any(l.link_end < l.t + 0.35 and l.accepted > 1e9 for l in t.launches.values())),
+    "the yes arrives after the time-out": (
+        ["at 2 slow hosts 1.6 for 5"],
+        lambda t: any(l.accepted > l.t + l.wait and l.accepted < 1e9 for l in t.launches.values())),
+    "the same host is back within the time-out": (
+        ["at 2 kill h01,h02,h03 for 0.2", "at 4 kill h04,h05,h06 for 0.2"],
+        lambda t: len([b for h, b in t.booted if h == "h01"]) == 2),
+    "links break under launches": (
+        ["at 2 cut hosts from controllers for 1", "at 4 cut controllers from hosts one-way for 1",
+         "at 6 cut hosts from controllers one-way for 1"],
+        lambda t: any(l.held_back for l in t.launches.values())),
+    "a controller stands still and goes on": (
+        ["at 2 stop c1 for 5"],
+        lambda t: any(w == "continue" for _, w, _ in t.marks)),
+    "silent for jobs while probes are answered": (
+        ["at 2 mute h01,h02 for 6"],
+        lambda t: any(a[1] == pb.WRITTEN_OFF for j in t.jobs.values() for a in j.answers)),
+    "controllers restart amid a mass restart": (
+        ["at 2 kill h01,h02,h03 for 1", "at 2.5 kill c1,c2 for 1"],
+        lambda t: {l.life for l in t.launches.values()} == {1, 2} and t.found),
+    "discovery is down while hosts drain": (
+        ["at 1 discovery down for 4", "at 2 drain h01,h02 for 5"],
+        lambda t: True),
+    "hosts drain and send their jobs away": (
+        ["habit drain=paced", "at 2 drain h01,h02 for 4", "at 4 deploy h04,h05 50"],
+        lambda t: True),
+    "young hosts after growth and a burst": (
+        ["at 1 burst 3 for 4", "at 2 grow 2 std a", "at 3 kill h02 for 1"],
+        lambda t: True),
+    "errors, refusals, lost programs, a surge and heavy jobs": (
+        ["at 1 errors h01 web for 3", "at 1 refuse h02 x for 3", "at 2 flush hosts", "at 3 surge web-1 2 for 3",
+         "at 4 heavy mail 4 for 2", "at 5 pace h03 0.2 for 3"],
+        lambda t: any(l.outcome == pb.ERROR for l in t.launches.values())),
+    "the watch is lost and the list is late": (
+        ["at 2 discovery lose", "at 3 discovery late 1 for 3", "at 4 drain h01"],
+        lambda t: True),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_hard_cases_keep_the_rules(tmp_path, name):
+    orders, shown = CASES[name]
+    traffic, breaches, tally = played(day_of(tmp_path, *orders))
+    assert not breaches, [breach.text for breach in breaches[:3]]
+    assert len(traffic.jobs) > 50
+    assert shown(traffic), "the day did not show what it is for"
+
+
+def test_a_launch_given_up_by_its_client_is_stopped_on_its_host(tmp_path):
+    traffic, breaches, _ = played(day_of(tmp_path, "at 2 slow hosts 1.2 for 6"))
+    stopped = [l for l in traffic.launches.values() if l.stopped < 1e9]
+    assert stopped and all(l.ended < 1e9 or l.refused < 1e9 for l in stopped)
+
+
+def test_the_same_day_gives_the_same_record(tmp_path):
+    day = day_of(tmp_path, "at 2 kill h01 for 1", "at 3 kill c1 for 1", "at 4 cut zone:a from zone:b for 1")
+    first, second = (play_in_memory(day)[1] for _ in range(2))
+    assert first == second
+
+
+# mutants: a controller without one of its guards has to be caught
+
+class Ungated(Controller):
+    def allowed(self, track, host):
+        return not track.ended and track.host is None and host.entry.mode is not Mode.GONE
+
+
+class Forgetful(Ungated):
+    """Does not hear of drains, either."""
+
+    def list_one(self, entry):
+        from dataclasses import replace
+        super().list_one(replace(entry, mode=Mode.SERVING))
+
+
+def broken_rules(breaches):
+    return {breach.rule for breach in breaches}
+
+
+@pytest.mark.parametrize("rule, orders, mutant", [
+    (2, ["at 2 mute h01,h02,h03,h04 for 5"], Ungated), (3, ["at 2 drain h01,h02,h03,h04"], Forgetful),
+    (4, ["at 2 kill h01,h02,h03,h04,h05 for 0.5", "at 2 burst 6 for 6"], Ungated),
+    (5, ["at 2 drain h01,h02,h03,h04"], Ungated)])
+def test_a_controller_without_its_gate_is_caught(tmp_path, rule, orders, mutant):
+    day = day_of(tmp_path, *orders)
+    assert rule in broken_rules(played(day, policy=mutant)[1])
+    assert rule not in broken_rules(played(day)[1])
+
+
+def test_a_life_number_that_is_not_raised_is_caught(tmp_path, monkeypatch):
+    day = day_of(tmp_path, "at 3 kill c1 for 1")
+    assert not played(day)[1]
+    monkeypatch.setattr(Store, "next_life", lambda self: 1)
+    try:
+        caught = bool(played(day)[1])
+    except* BrokenPromise:      # it meets jobs of its own number on the hosts, and ends rather than go on
+        caught = True
+    assert caught
+
+
+class Credulous(Engine):
+    """Takes a late yes for an answer."""
+
+    def late_yes(self, launch):
+        taken = self.taken.get(launch.job.id)
+        if taken:
+            self.out.append(do.Answer(taken.client, taken.key, launch.job.id, do.Verdict.PLACED, launch.host))
+
+
+class Forgiving(Engine):
+    """Answers nothing when a job is given up."""
+
+    def answer(self, job_id, verdict, host=""):
+        if verdict is do.Verdict.PLACED:
+            super().answer(job_id, verdict, host)
+
+
+@pytest.mark.parametrize("mutant, rule, orders", [
+    (Credulous, 1, ["at 2 slow hosts 1.2 for 6"]), (Forgiving, 1, ["at 2 mute h01,h02 for 6"])])
+def test_an_engine_without_its_guard_is_caught(tmp_path, monkeypatch, mutant, rule, orders):
+    day = day_of(tmp_path, *orders)
+    assert not played(day)[1]
+    monkeypatch.setattr(runtime, "Engine", mutant)
+    assert rule in broken_rules(played(day)[1])
+
+
+def test_an_engine_that_takes_a_broken_link_for_proof_is_caught(tmp_path, monkeypatch):
+    day = day_of(tmp_path, "at 1 slow hosts 1.4 for 8", "at 3 kill h01,h02 for 1", "at 4 kill h03,h04 for 1")
+    assert not played(day)[1]
+    monkeypatch.setattr(launches, "cut", lambda launch: Result.UNREACHABLE if launch.state is State.OUT else None)
+    assert 2 in broken_rules(played(day)[1])
+
+
+def test_the_example_day_can_be_read():
+    assert len(read_day("examples/bad-day.day").orders) > 15
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -337,3 +337,53 @@
             await client.submit(ASK)
         assert caught.value.retry_after > 0
         tasks.cancel_scope.cancel()
+
+
+async def test_what_was_meant_for_an_earlier_boot_is_not_sent_to_a_young_host(cluster):
+    # guards against pushing a host over that came back while launches waited for its link
+    offers = []
+    async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
+        address = listener.extra(anyio.abc.SocketAttribute.local_address)
+    cluster.list_host("a", address)
+    await cluster.controller()
+    await anyio.sleep(1.2)      # its link has been refused
+
+    async def handle(stream):
+        link = Link(stream)
+        try:
+            await link.receive()
+            await link.send(encode(pb.Welcome(version=1, name="a", boot=2, age=0.1)))
+            while True:
+                offers.append(await offered(link))
+        except LinkLost:
+            pass
+    await cluster.tasks.start(cluster.net.serve, address, handle)
+    async with cluster.client() as client, anyio.create_task_group() as tasks:
+        for _ in range(5):
+            tasks.start_soon(client.submit, ASK)
+        await cluster.until(lambda: cluster.runtime.links["a"].up)
+        await anyio.sleep(0.3)
+        tasks.cancel_scope.cancel()
+    assert not offers       # a controller that has just started sends a young host nothing yet
+
+
+async def test_what_waits_for_a_host_that_drains_goes_back(cluster):
+    # guards against a launch that left long after the drain was told, because its link was slow
+    gate = anyio.Event()
+
+    async def script(link, hello):
+        await gate.wait()
+        await link.send(welcome("a"))
+        await offered(link)
+        raise AssertionError("a launch came after the drain")
+    await play_host(cluster, "a", script)
+    await cluster.controller()
+    runtime = cluster.runtime
+    async with cluster.client() as client, anyio.create_task_group() as tasks:
+        tasks.start_soon(client.submit, FEED)
+        await cluster.until(lambda: runtime.links["a"].outbox)
+        at, entry = cluster.discovery.heard["a"]
+        entry.mode = pb.DRAINING
+        await cluster.until(lambda: not runtime.links["a"].outbox)
+        assert runtime.engine.taken and not runtime.engine.launches     # it waits again, unsent
+        tasks.cancel_scope.cancel()
