--- a/benchmarks/bad_days.py
+++ b/benchmarks/bad_days.py
@@ -1,6 +1,6 @@
 """Value earned of value asked on bad days, by kind of trouble: linedeal's module beside two baselines.
 
-Days in memory on a mock clock: 20 s of load, 3 controllers, 12 stand-in hosts, seeds 1 to 3. The baselines keep the
+Days in memory on a mock clock: 40 s of load, 3 controllers, 12 stand-in hosts, seeds 1 to 3. The baselines keep the
 gate, so that the rules hold, and choose otherwise: one by chance, one by most room alone.
 """
 
@@ -19,12 +19,12 @@
 CLUSTER = Path("examples/cluster.hcl").read_text().replace("controllers    = 4", "controllers    = 3")
 SET = """
 cluster cluster.hcl
-length 20
+length 40
 controllers 3 zones a b c
-habit setup=0.6 life=8 kept=4
+habit setup=1.2 life=9 kept=4
 hosts 9 kind std zones a b c cells 3
 hosts 3 kind press zones a b c cells 3
-load course-reader 5 cores=1-4 memory=2-12 services=10 customers=school,publisher,shop
+load course-reader 5.5 cores=1-4 memory=2-12 services=10 customers=school,publisher,shop
 load photo-book 3 cores=1-3 memory=2-8 services=6 customers=shop,publisher
 load press-feed 1.5 cores=2-5 memory=4-12 services=4 customers=publisher
 """
--- a/linedeal/lab/report.py
+++ b/linedeal/lab/report.py
@@ -10,6 +10,7 @@
 from linedeal.settings.cluster import Cluster
 
 SHOWN = 3       # breaches of a rule that are shown
+DUE = 0.25      # share of a job's expiry within which a start earns all of its value
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,11 +46,16 @@
 
 
 def earned(traffic: Traffic, cluster: Cluster, asked: dict[str, int]) -> float:
-    """Value of the jobs that started and were not lost, over the value of those asked for."""
+    """Value earned over value asked for. A job earns its offering's value if it started within DUE of its expiry and
+    was not lost, half of it if it started later."""
     offerings = cluster.settings.offerings
-    value = sum(offerings[job.offering].value for job in traffic.jobs.values()
-                if any(launch.started < NEVER and launch.lost == NEVER and launch.outcome in (0, pb.DONE)
-                       for launch in job.launches))
+    value = 0.0
+    for job in traffic.jobs.values():
+        starts = [launch.started for launch in job.launches
+                  if launch.started < NEVER and launch.lost == NEVER and launch.outcome in (0, pb.DONE)]
+        if starts:
+            due = job.taken + DUE * offerings[job.offering].expiry
+            value += offerings[job.offering].value * (1.0 if min(starts) <= due else 0.5)
     whole = sum(offerings[name].value * count for name, count in asked.items())
     return value / whole if whole else 0.0
 
