--- a/benchmarks/bad_days.py
+++ b/benchmarks/bad_days.py
@@ -84,7 +84,7 @@
         day = parse_day(SET + f"seed {seed}\n" + "\n".join(DAYS[trouble]), "bad.day", path)
         tally, entries = play_in_memory(day, policy=POLICIES[policy])
     traffic = audit.gather(entries)
-    return job, report.earned(traffic, day.cluster, tally.asked), len(audit.judge(traffic, day.cluster))
+    return job, report.earned(traffic, day, tally.asked), len(audit.judge(traffic, day.cluster))
 
 
 def main():
--- a/linedeal/audit/traffic.py
+++ b/linedeal/audit/traffic.py
@@ -31,6 +31,7 @@
     lost: float = NEVER         # a later welcome of another boot, or the host told as gone
     absent: float = NEVER       # a later welcome of the same boot that does not name it: it never ran
     outcome: int = 0
+    uses: list[tuple[float, float]] = field(default_factory=list)   # when told, cores in use
 
     @property
     def never_ran(self) -> float:
@@ -187,6 +188,11 @@
         self.traffic.launches[key] = seen
         link.launches.append(seen)
 
+    def use(self, entry, link, message) -> None:
+        launch = self.find(message.launch)
+        if launch is not None:
+            launch.uses.append((entry.t, message.cores))
+
     def welcome(self, entry, link, message) -> None:
         link.boot = message.boot
         name, life, host = link.hello.name, link.hello.life, link.to
@@ -252,7 +258,7 @@
     (pb.CLIENT, "<", pb.TurnedAway): Reader.turned_away, (pb.CLIENT, "<", pb.Answer): Reader.answer,
     (pb.CLIENT, ">", pb.TakeBack): Reader.take_back,
     (pb.CONTROLLER, ">", pb.Offer): Reader.offer, (pb.CONTROLLER, "<", pb.Welcome): Reader.welcome,
-    (pb.CONTROLLER, "<", pb.HostList): Reader.host_list,
+    (pb.CONTROLLER, "<", pb.HostList): Reader.host_list, (pb.CONTROLLER, "<", pb.Use): Reader.use,
     (pb.CONTROLLER, "<", pb.Accepted): said("accepted"),
     (pb.CONTROLLER, "<", pb.Refused): said("refused"),
     (pb.CONTROLLER, "<", pb.Started): said("started"),
--- a/linedeal/cli.py
+++ b/linedeal/cli.py
@@ -272,7 +272,7 @@
         tally, entries = run(play.play_processes, plan, place, say)
     traffic = audit.gather(entries)
     breaches = audit.judge(traffic, plan.cluster)
-    value = report.earned(traffic, plan.cluster, tally.asked)
+    value = report.earned(traffic, plan, tally.asked)
     if as_json:
         print(json.dumps({"value": value, "ends": tally.ends, "jobs": len(traffic.jobs), "breaches": [
             {"rule": b.rule, "t": b.t, "text": b.text} for b in breaches]}))
--- a/linedeal/lab/report.py
+++ b/linedeal/lab/report.py
@@ -5,12 +5,13 @@
 from hdrh.histogram import HdrHistogram
 
 from linedeal.audit import RULES, Breach, Traffic
-from linedeal.audit.traffic import NEVER
+from linedeal.audit.traffic import NEVER, LaunchSeen
+from linedeal.lab.day import Day
 from linedeal.protocol import pb
-from linedeal.settings.cluster import Cluster
 
 SHOWN = 3       # breaches of a rule that are shown
-DUE = 0.25      # share of a job's expiry within which a start earns all of its value
+DUE = 0.25      # share of a job's expiry within which a start counts as punctual
+START = 4.0     # seconds of full service that a punctual start is worth
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,19 +46,60 @@
     return found
 
 
-def earned(traffic: Traffic, cluster: Cluster, asked: dict[str, int]) -> float:
-    """Value earned over value asked for. A job earns its offering's value if it started within DUE of its expiry and
-    was not lost, half of it if it started later."""
-    offerings = cluster.settings.offerings
-    value = 0.0
+def earned(traffic: Traffic, day: Day, asked: dict[str, int]) -> float:
+    """Value earned over value asked for.
+
+    A job is worth its offering's value for each core and second in which it is served in full, and START seconds more
+    if it starts within DUE of its expiry. How it is served follows from the cores that all jobs of its host were told
+    to use, by the offering's calm and fade. Asked for is what all jobs would earn, at the mean run and size seen.
+    """
+    offerings = day.cluster.settings.offerings
+    seconds, served = run_seconds(traffic, day)
+    launches = [launch for launch in traffic.launches.values() if launch in served]
+    if not launches:
+        return 0.0
+    value = sum(served[launch] * launch.job.cores * offerings[launch.job.offering].value for launch in launches)
+    sizes: dict[str, list[float]] = {}
     for job in traffic.jobs.values():
-        starts = [launch.started for launch in job.launches
-                  if launch.started < NEVER and launch.lost == NEVER and launch.outcome in (0, pb.DONE)]
-        if starts:
-            due = job.taken + DUE * offerings[job.offering].expiry
-            value += offerings[job.offering].value * (1.0 if min(starts) <= due else 0.5)
-    whole = sum(offerings[name].value * count for name, count in asked.items())
-    return value / whole if whole else 0.0
+        sizes.setdefault(job.offering, []).append(job.cores)
+        started = min((launch.started for launch in job.launches), default=NEVER)
+        if started <= job.taken + DUE * offerings[job.offering].expiry:
+            value += START * job.cores * offerings[job.offering].value
+    mean = sum(seconds.values()) / len(seconds)
+    whole = sum(offerings[name].value * count * (mean + START) * sum(sizes[name]) / len(sizes[name])
+                for name, count in asked.items() if name in sizes)
+    return min(1.0, value / whole)
+
+
+def run_seconds(traffic: Traffic, day: Day) -> tuple[dict[LaunchSeen, float], dict[LaunchSeen, float]]:
+    """Of each launch that started: the seconds that it ran, and those in which it was served, in parts."""
+    settings = day.cluster.settings
+    kinds = {host.name: settings.kinds[host.kind] for host in day.hosts}
+    seconds, served = {}, {}
+    by_host: dict[str, list] = {}
+    for number, launch in enumerate(traffic.launches.values()):
+        if launch.started < NEVER and launch.host in kinds:
+            over = min(launch.ended, launch.lost, traffic.end)
+            seconds[launch], served[launch] = over - launch.started, 0.0
+            for t, cores in launch.uses:
+                by_host.setdefault(launch.host, []).append((t, number, launch, cores))
+            by_host.setdefault(launch.host, []).append((over, number, launch, None))
+    for host, changes in by_host.items():
+        running: dict[LaunchSeen, float] = {}
+        last = 0.0
+        for t, _, launch, cores in sorted(changes, key=lambda change: change[:2]):
+            busy = sum(running.values()) / kinds[host].cores
+            for other in running:
+                offering = settings.offerings[other.job.offering]
+                over = busy - offering.calm
+                part = 1.0 if over <= 0 else max(0.0, 1.0 - over / offering.fade) if offering.fade else 0.0
+                served[other] += part * (t - last)
+            last = t
+            if cores is None:
+                running.pop(launch, None)
+            elif launch.ended > t and launch.lost > t:
+                running[launch] = cores
+    return seconds, served
 
 
 def lines(traffic: Traffic, breaches: list[Breach]) -> list[str]:
--- a/linedeal/lab/tap.py
+++ b/linedeal/lab/tap.py
@@ -72,7 +72,8 @@
                     wake = anyio.Event()
             except LOST:
                 pass        # the other direction's end says the same
-            self.recorder.ended(anyio.current_time(), self.link, direction)
+            if direction == "<":
+                self.recorder.ended(anyio.current_time(), self.link, direction)
             self.tasks.cancel_scope.cancel()
 
         self.tasks.start_soon(write)
@@ -89,6 +90,8 @@
                 wake.set()
         except LOST:
             pass            # an end like another
+        if direction == ">":    # noted as it comes, like data: a cut keeps it from the other side, not from being true
+            self.recorder.ended(anyio.current_time(), self.link, direction)
         ended = True
         wake.set()
 
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -301,3 +301,23 @@
     path.write_text('{"t":1,"e":"mark"}\n{"t":')
     with pytest.raises(BadRecord, match="line 2"):
         list(read_record(path))
+
+
+def test_value_counts_served_seconds_and_punctual_starts():
+    from linedeal.lab import report
+    from linedeal.lab.day import ControllerSpec, Day, HostSpec
+    from linedeal.standin.model import Habits
+    s = Script()
+    day = Day("d", "", CLUSTER, 1, 60.0, (ControllerSpec("c", "z"),),
+              tuple(HostSpec(h, "std", "z", 0, Habits()) for h in "ab"), (), ())
+    for i, (started, cores) in enumerate([(1.5, 5.0), (4.5, 15.0)]):     # one calm and punctual; one late, half served
+        job = s.job(1.0, key=f"k{i}")
+        said = s.offer(1.0, job, "ab"[i])
+        said(1.1, pb.Accepted)
+        s.answer(1.1, job)
+        said(started, pb.Started)
+        said(started, pb.Use, cores=cores, memory=1.0)
+        said(started + 10, pb.Ended, outcome=pb.DONE)
+    traffic = gather(s.r.entries)
+    assert report.earned(traffic, day, {"web": 2}) == pytest.approx((10 + 4 + 5) / (2 * 14))
+    assert report.earned(traffic, day, {"web": 4}) == pytest.approx((10 + 4 + 5) / (4 * 14))
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -129,6 +129,14 @@
     assert shown(traffic), "the day did not show what it is for"
 
 
+def test_a_link_that_its_controller_ends_under_a_cut_counts_as_ended_then(tmp_path):
+    # guards against an audit that holds a launch for out because the cut kept the link's end from the host
+    day = day_of(tmp_path, "length 14", "at 2 cut zone:a from zone:b for 7")
+    traffic, breaches, _ = played(day)
+    assert not breaches, [breach.text for breach in breaches[:3]]
+    assert any(l.link_end < 9.9 and l.held_back for l in traffic.launches.values())
+
+
 def test_a_launch_given_up_by_its_client_is_stopped_on_its_host(tmp_path):
     traffic, breaches, _ = played(day_of(tmp_path, "at 2 slow hosts 1.2 for 6"))
     stopped = [l for l in traffic.launches.values() if l.stopped < 1e9]
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -32,6 +32,7 @@
     effects = d.rest(1.6)
     second = d.only(do.SendLaunch, effects)[0]
     assert second.host != first.host
+    assert do.SendStop(first.host, on.LaunchId(MINE, first.number)) in effects     # called off as it is given up
     d.turn(1.6, on.Left(second.host, 1, (second.number,)))
     late = d.said(on.Accepted, first, 1.7)
     assert d.verdicts(late) == []
@@ -82,6 +83,25 @@
     assert again and again[0].host != sent.host
 
 
+def test_a_probe_is_lost_with_its_link():
+    # guards against one break told as two silences, which doubles the host's mark
+    d = Drive("a")
+    d.submit(1.0)
+    assert list(d.engine.probes.values()) == ["a"]
+    d.down("a", 1.1)
+    assert not d.engine.probes
+
+
+def test_an_old_line_of_the_list_makes_no_host_younger_or_older():
+    # guards against a list that is late: it would take a young host for a warm one
+    d = Drive("a")
+    d.list("a", 1.0, boot=5, age=0.5)
+    d.list("a", 1.2, boot=1, age=500.0)
+    assert d.engine.fleet.hosts["a"].listed.boot == 5
+    d.list("a", 1.4, boot=5, age=3.0)      # the same boot, reckoned from a late line
+    assert d.engine.module.hosts["a"].entry.booted == 0.5
+
+
 def test_an_irreversible_job_waits_for_proof_when_its_link_breaks():
     # guards against a launch written to a socket buffer as the link breaks: nobody knows, so nothing is sent
     d = Drive()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,6 +1,5 @@
 """Links, front and watch over real sockets, against scripted peers that misbehave."""
 
-import os
 import random
 from contextlib import asynccontextmanager
 
@@ -30,7 +29,7 @@
   link_silent = 0.4
   watch = 0.4
 """)
-GARBAGE = [os.urandom(64), frames.HEAD.pack(frames.MOST + 1, 0), encode(pb.Probe(number=1))[:-1],
+GARBAGE = [random.Random(1).randbytes(64), frames.HEAD.pack(frames.MOST + 1, 0), encode(pb.Probe(number=1))[:-1],
            encode(pb.Hello(version=1, role=pb.CLIENT, name="x")) * 2, encode(pb.Answer(key="k")), b"\0" * 4096]
 
 
