--- a/linedeal/net/tcp.py
+++ b/linedeal/net/tcp.py
@@ -13,7 +13,10 @@
 
     async def serve(self, address: Address, handle, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Hands each stream that comes in to `handle` in a task of its own; tells the address it listens at."""
-        listener = await anyio.create_tcp_listener(local_host=address[0], local_port=address[1])
+        try:
+            listener = await anyio.create_tcp_listener(local_host=address[0], local_port=address[1])
+        except OSError as error:
+            raise OSError(error.errno, error.strerror, f"{address[0]}:{address[1]}") from None
         async with listener:
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             task_status.started((address[0], port))
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -2,13 +2,19 @@
 
 import random
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import anyio
 import pytest
 import structlog
 
 from linedeal.client import Client, ClientLost, JobAsk, TurnedAway
+from linedeal import interface as api
+from linedeal.controller.hostlink import HostLink
+from linedeal.controller.inbox import Inbox
 from linedeal.controller.runtime import Halted, Runtime, Setup
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
 from linedeal.net import Link, LinkLost, TcpNet
 from linedeal.processes import unwrap
 from linedeal.protocol import encode, frames, pb
@@ -293,15 +299,17 @@
 
 
 async def test_a_missed_change_is_noticed_and_the_whole_list_asked_for(cluster):
-    await cluster.host("a")
+    server = await cluster.host("a")
     await cluster.controller()
-    version = cluster.discovery.version
-    cluster.discovery.version += 5      # changes that this watcher never gets
     for watcher in cluster.discovery.watchers:
-        watcher.sent = cluster.discovery.version
+        watcher.sent = 1 << 40                      # this one is sent nothing for now
+    server.control({"drain": True})
+    await cluster.until(lambda: cluster.discovery.hosts["a"].mode == pb.DRAINING)
+    for watcher in cluster.discovery.watchers:
+        watcher.sent = cluster.discovery.version    # ... and never what it missed
     await cluster.host("b")
     await cluster.until(lambda: "b" in cluster.runtime.links)
-    assert cluster.runtime.watch.version > version
+    assert cluster.runtime.engine.module.hosts["a"].entry.mode is api.Mode.DRAINING
 
 
 async def test_told_to_leave_it_answers_first(cluster):
@@ -366,23 +374,37 @@
     assert not offers       # a controller that has just started sends a young host nothing yet
 
 
-async def test_what_waits_for_a_host_that_drains_goes_back(cluster):
-    # guards against a launch that left long after the drain was told, because its link was slow
-    gate = anyio.Event()
+async def test_what_waits_for_a_host_that_drains_goes_back():
+    # guards against a launch that leaves long after the drain was told, because its link was slow
+    listed = on.ListedHost("a", (), "std", "z", 0, api.Mode.SERVING, 1, 9.0, None, None)
+    told = []
+    link = HostLink(listed, "c", 1, None, parse_cluster(CLUSTER).limits, Inbox(told.append), None, None)
+    link.launch(do.SendLaunch("a", 7, api.Job("j", "web", "", "s", 1.0, 1.0, 9.0), 5.0, 1))
+    link.relist(listed)
+    assert not told
+    link.relist(replace(listed, mode=api.Mode.DRAINING))
+    assert told == [on.Unsent("a", (7,))] and not link.outbox
 
+
+async def test_an_address_that_another_host_has_is_not_sent_to(cluster):
     async def script(link, hello):
-        await gate.wait()
-        await link.send(welcome("a"))
+        await link.send(welcome("another"))
         await offered(link)
-        raise AssertionError("a launch came after the drain")
+        raise AssertionError("sent to the wrong host")
     await play_host(cluster, "a", script)
     await cluster.controller()
-    runtime = cluster.runtime
-    async with cluster.client() as client, anyio.create_task_group() as tasks:
-        tasks.start_soon(client.submit, FEED)
-        await cluster.until(lambda: runtime.links["a"].outbox)
-        at, entry = cluster.discovery.heard["a"]
-        entry.mode = pb.DRAINING
-        await cluster.until(lambda: not runtime.links["a"].outbox)
-        assert runtime.engine.taken and not runtime.engine.launches     # it waits again, unsent
-        tasks.cancel_scope.cancel()
+    async with cluster.client() as client:
+        await cluster.until(lambda: cluster.said("link down"))
+        assert (await client.submit(JobAsk("feed", "", "s", 1.0, 1.0, wait=1.0))).verdict == "rejected"
+    assert "host 'another' answers there" in cluster.said("link down")[0]["reason"]
+
+
+async def test_a_client_that_breaks_off_takes_its_job_back(cluster):
+    server = await cluster.host("a", look=0.3)
+    await cluster.controller()
+    stream = await cluster.net.connect(cluster.address)
+    await stream.send(encode(pb.Hello(version=1, role=pb.CLIENT, name="x")) + encode(
+        pb.Submit(key="k", job=pb.JobSpec(offering="feed", service="s", cores=1, memory=1))))
+    await cluster.until(lambda: server.model.queue)
+    await anyio.aclose_forcefully(stream)
+    await cluster.until(lambda: not cluster.runtime.engine.taken and not server.model.copies)
