--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -1,9 +1,12 @@
 """Frames: whole messages whatever the pieces, one plain error whatever the bytes."""
 
+import anyio
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from linedeal.net import Link, LinkLost
+from linedeal.net.memory import pipe
 from linedeal.protocol import FrameError, FrameReader, encode, frames, pb
 
 MESSAGES = st.lists(st.one_of(
@@ -83,3 +86,24 @@
 def test_what_is_too_large_to_send_is_refused_at_home():
     with pytest.raises(FrameError, match="over the"):
         encode(pb.Bye(reason="x" * frames.MOST))
+
+
+@settings(max_examples=150, deadline=None)
+@given(st.lists(st.binary(min_size=1, max_size=80), max_size=5), st.booleans())
+def test_any_bytes_on_a_link_are_messages_or_its_end(pieces, good_first):
+    # front, host links and the watch all read through this one place
+    async def play():
+        near, far = pipe()
+        if good_first:
+            await near.send(encode(pb.Probe(number=5)))
+        for piece in pieces:
+            await near.send(piece)
+        await near.aclose()
+        link, got = Link(far), []
+        try:
+            while True:
+                got += await link.receive_all()
+        except LinkLost as error:
+            assert "\n" not in str(error)
+        assert not good_first or got[0].number == 5
+    anyio.run(play)
