--- a/linedeal/client/client.py
+++ b/linedeal/client/client.py
@@ -64,8 +64,8 @@
 
 
 class Client:
-    def __init__(self, link: Link):
-        self.link = link
+    def __init__(self, link: Link, session: str = ""):
+        self.link, self.session = link, session
         self.waiting: dict[str, Waiting] = {}
         self.keys = 0
         self.lost = ""
@@ -73,13 +73,18 @@
 
     @classmethod
     @asynccontextmanager
-    async def connect(cls, net: Net, address: Address, name: str, within: float = 5.0) -> AsyncIterator["Client"]:
-        """A client for the block; leaving it takes back all that still waits. Raises ClientLost."""
+    async def connect(cls, net: Net, address: Address, name: str, within: float = 5.0,
+                      session: str = "") -> AsyncIterator["Client"]:
+        """A client for the block; leaving it takes back all that still waits. Raises ClientLost.
+
+        With a session its jobs outlive the link and the controller's life: asked for again under the same key, a job
+        is joined, not taken twice, and an answer is kept until it has been seen.
+        """
         link = None
         try:
             with anyio.fail_after(within):
                 link = Link(await net.connect(address))
-                await link.send(encode(pb.Hello(version=VERSION, role=pb.CLIENT, name=name)))
+                await link.send(encode(pb.Hello(version=VERSION, role=pb.CLIENT, name=name, session=session)))
                 welcome = await link.receive()
             if isinstance(welcome, pb.Bye):
                 raise ClientLost(f"told to go: {welcome.reason}", False)
@@ -89,7 +94,7 @@
             said = str(error) if isinstance(error, LinkLost) else "no welcome in time"
             raise ClientLost(reason(error) if isinstance(error, LOST) and not isinstance(error, TimeoutError) else said,
                              False) from None
-        client = cls(link)
+        client = cls(link, session)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(client.read)
@@ -141,8 +146,16 @@
             raise ClientLost(self.lost, True)
         if isinstance(message, pb.TurnedAway):
             raise TurnedAway(message.reason, message.retry_after)
+        if self.session:
+            await self.confirm(key)
         return Answered(message.job, VERDICTS.get(message.verdict, "written off"), message.host)
 
+    async def confirm(self, key: str) -> None:
+        try:
+            await self.send(pb.AnswerSeen(key=key))
+        except LinkLost:
+            pass        # it is kept a while longer, that is all
+
     async def take_back(self, key: str) -> None:
         try:
             await self.send(pb.TakeBack(key=key))
--- a/linedeal/controller/front.py
+++ b/linedeal/controller/front.py
@@ -15,6 +15,7 @@
 from linedeal.settings.cluster import Limits
 
 VERSION = 1
+SESSION_MOST = 200  # characters of a session's name
 KEY_MOST = 200      # characters of a client's key for a job
 
 
@@ -23,6 +24,7 @@
     number: int
     link: Link
     name: str = ""
+    session: str = ""
     outbox: deque = field(default_factory=deque)
     waiting: int = 0            # bytes in it
     jobs: int = 0               # taken and not answered
@@ -84,7 +86,7 @@
                 hello = await client.link.receive()
                 if not isinstance(hello, pb.Hello):
                     raise LinkLost(f"{type(hello).__name__} in place of a hello")
-                client.name = hello.name[:80]
+                client.name, client.session = hello.name[:80], hello.session[:SESSION_MOST]
                 await client.link.send(encode(pb.Welcome(version=min(hello.version, VERSION), name=self.controller)))
         except TimeoutError:
             raise LinkLost(f"no hello within {self.limits.hello:g} s") from None
@@ -106,12 +108,14 @@
         match message:
             case pb.Submit() if 0 < len(message.key) <= KEY_MOST:
                 client.jobs += 1
-                return translate.submitted(client.number, message)
+                return translate.submitted(client.number, client.session, message)
             case pb.Submit():
                 raise LinkLost(f"a key of {len(message.key)} characters, 1 to {KEY_MOST} are taken")
             case pb.TakeBack():
                 client.jobs -= 1
-                return on.TakenBack(client.number, message.key)
+                return on.TakenBack(client.number, message.key, client.session)
+            case pb.AnswerSeen():
+                return on.AnswerSeen(client.session, message.key)
         raise LinkLost(f"a client may not send {type(message).__name__}")
 
     async def let_go(self, client: Client) -> None:
--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -19,8 +19,10 @@
 from linedeal.policy import Controller
 from linedeal.settings.cluster import Cluster
 from linedeal.state import Store, StoreFault
+from linedeal.state.journal import Journal, to_keep
 
 KEEP_EVERY = 1.0        # seconds between two writes of the list
+COMPACT_EVERY = 60.0    # seconds between two looks for answers kept long enough
 TELL_EVERY = 10.0       # seconds between two lines that sum up
 
 
@@ -41,6 +43,8 @@
     def __init__(self, setup: Setup, store: Store, net: Net, log, policy=Controller):
         self.setup, self.store, self.net = setup, store, net
         self.life = store.next_life()       # on disk before anything of this life can be sent
+        self.journal = Journal(store, setup.cluster.journal.power)
+        self.disk = anyio.Lock()            # one connection: one transaction at a time
         self.log = log.bind(controller=setup.name, life=self.life)
         self.policy = policy
         self.links: dict[str, HostLink] = {}
@@ -61,11 +65,13 @@
         self.next_link = lambda: next(numbers)
         async with anyio.create_task_group() as self.tasks:
             self.remember(now)
+            self.recover()
             for effect in self.engine.begin():
                 self.carry(effect)
             self.tasks.start_soon(self.watch.run)
             self.tasks.start_soon(self.keep_list)
             self.tasks.start_soon(self.tell)
+            self.tasks.start_soon(self.compact)
             address = await self.tasks.start(self.front.run, self.setup.listen)
             self.log.info("takes jobs", address=f"{address[0]}:{address[1]}")
             task_status.started(address)
@@ -85,11 +91,33 @@
             self.log.info("starts from the list kept last", hosts=len(hosts), version=version)
             self.engine.put(on.ListHeard(hosts, True, version, remembered=True))
 
+    def recover(self) -> None:
+        longest = max(offering.expiry for offering in self.setup.cluster.settings.offerings.values())
+        found = self.journal.read(self.time_of_day(), longest)
+        if found.open or found.answers:
+            self.log.info("journal read", owed=len(found.open), answers=len(found.answers))
+        self.engine.recover(found.open, found.answers)
+
+    async def compact(self) -> None:
+        """Answers that no session has confirmed go in the end, some at a time."""
+        while True:
+            try:
+                dropped = await self.on_disk(self.journal.compact, self.time_of_day(),
+                                             self.setup.cluster.journal.answers_kept)
+            except StoreFault as error:
+                self.log.error("journal not compacted", reason=str(error))
+                dropped = 0
+            await anyio.sleep(0.1 if dropped else COMPACT_EVERY)
+
     async def turn_until_left(self) -> None:
         ends = float("inf")
         while True:
             self.turned_at = anyio.current_time()
-            for effect in self.engine.turn(self.turned_at):
+            effects = self.engine.turn(self.turned_at)
+            keep = to_keep(effects)
+            if keep:    # on disk before any of it shows: the turn's jobs share the flush, the next turn gathers meanwhile
+                await self.on_disk(self.journal.write, self.time_of_day(), self.life, keep)
+            for effect in effects:
                 self.carry(effect)
             if self.leaving.is_set():
                 ends = min(ends, anyio.current_time() + self.setup.cluster.limits.leave)
@@ -125,6 +153,8 @@
             self.watch.ask()
         elif kind is do.Note:
             getattr(self.log, effect.level)(effect.event, **dict(effect.fields))
+        elif kind in ONLY_KEPT:
+            pass        # the journal has them
         elif kind is do.Halt:
             raise Halted(effect.reason)
         else:
@@ -161,7 +191,8 @@
     # a day on a mock clock replaces these two: a thread or the real time of day would make each run another
 
     async def on_disk(self, call, *args):
-        return await anyio.to_thread.run_sync(call, *args)
+        async with self.disk:
+            return await anyio.to_thread.run_sync(call, *args)
 
     def time_of_day(self) -> float:
         return time.time()
@@ -183,3 +214,4 @@
     do.SendEndSeen: HostLink.tell,
     do.SendProbe: HostLink.probe,
 }
+ONLY_KEPT = (do.KeepVoid, do.KeepNoMore)
--- a/linedeal/controller/translate.py
+++ b/linedeal/controller/translate.py
@@ -72,10 +72,10 @@
     raise LinkLost(f"a host may not send {type(message).__name__}")
 
 
-def submitted(client: int, message) -> on.Submitted:
+def submitted(client: int, session: str, message) -> on.Submitted:
     job = message.job
     return on.Submitted(client, message.key, job.offering, job.customer, job.service, job.cores, job.memory,
-                        message.wait)
+                        message.wait, session)
 
 
 def to_client(effect):
--- a/linedeal/engine/effects.py
+++ b/linedeal/engine/effects.py
@@ -41,6 +41,21 @@
     job: Job
     due: float                  # when it is given up
     boot: int                   # of the host, as it was known when this was decided
+    keep: bool = False          # to be on disk before its first byte leaves
+
+
+@dataclass(frozen=True, slots=True)
+class KeepVoid:
+    """This launch is known not to have run."""
+
+    launch: LaunchId
+
+
+@dataclass(frozen=True, slots=True)
+class KeepNoMore:
+    """Nothing is owed for the job and nobody will ask for it again."""
+
+    job: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +91,9 @@
     client: int
     key: str
     job: str
+    session: str = ""
+    record: Job | None = None   # to be on disk before the client is told, where a session owns it
+    expires_in: float = 0.0     # seconds
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,6 +113,7 @@
     job: str
     verdict: Verdict
     host: str = ""
+    keep: bool = False          # to be on disk before the client is told
 
 
 @dataclass(frozen=True, slots=True)
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -13,7 +13,7 @@
 from linedeal import interface as api
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
-from linedeal.engine import launches
+from linedeal.engine import launches, recovery
 from linedeal.engine.asking import Asking, again_after
 from linedeal.engine.fleet import Fleet, HostRecord
 from linedeal.engine.launches import Launch, State
@@ -24,6 +24,7 @@
 
 STRAY_KEPT = 60.0       # seconds for which a launch that was given up is remembered, for a late yes
 STALL_SEEN = 0.25       # a timer this late tells that this process stood still, not that hosts were silent
+ANSWERS_MOST = 100_000  # answers kept for sessions that have not confirmed them
 BREATH = 0.05           # what came in meanwhile is read for so long before launches are given up
 
 
@@ -35,9 +36,14 @@
 class Taken:
     """A job that is owed an answer."""
 
-    client: int
+    client: int                 # link of the client that waits; 0: it has gone, and its session may come back
     key: str
     job: api.Job
+    session: str = ""
+
+    @property
+    def owner(self):
+        return self.session or self.client
 
 
 class Engine:
@@ -53,7 +59,11 @@
         self.now = now
         self.ready = False          # a list has been heard, so that jobs can be taken
         self.taken: dict[str, Taken] = {}
-        self.keys: dict[tuple[int, str], str] = {}
+        self.keys: dict[tuple[int | str, str], str] = {}     # by owner and key
+        self.answers: dict[tuple[str, str], recovery.KeptAnswer] = {}
+        self.pending: dict[str, recovery.OpenJob] = {}      # of an earlier life, not settled yet
+        self.accounts: dict[str, recovery.Account] = {}
+        self.begun = now
         self.clients: dict[int, set[str]] = {}
         self.launches: dict[on.LaunchId, Launch] = {}
         self.by_job: dict[str, Launch] = {}     # the launch that the module has out, or placed
@@ -138,6 +148,8 @@
 
     def submitted(self, event: on.Submitted) -> None:
         offering = self.cluster.settings.offerings.get(event.offering)
+        if event.session and self.joined(event):
+            return
         reason = self.turned_away(event, offering)
         if reason:
             self.counts["turned away"] += 1
@@ -148,13 +160,46 @@
         wait = min(event.wait or offering.expiry, offering.expiry)
         job = api.Job(f"{self.name}.{self.life}.{self.jobs}", event.offering, event.customer, event.service,
                       event.cores, event.memory, self.now + wait)
-        self.taken[job.id] = Taken(event.client, event.key, job)
-        self.keys[event.client, event.key] = job.id
-        self.clients.setdefault(event.client, set()).add(event.key)
+        self.own(Taken(event.client, event.key, job, event.session))
         self.counts["taken"] += 1
-        self.out.append(do.Take(event.client, event.key, job.id))
+        self.out.append(do.Take(event.client, event.key, job.id, event.session, job if event.session else None, wait))
         self.tell(api.JobArrived(job))
 
+    def own(self, taken: Taken) -> None:
+        self.taken[taken.job.id] = taken
+        self.keys[taken.owner, taken.key] = taken.job.id
+        if taken.client:
+            self.clients.setdefault(taken.client, set()).add(taken.key)
+
+    def joined(self, event: on.Submitted) -> bool:
+        """Whether the session has asked for this key before: the same job is joined, another is a fault."""
+        waits, kept = self.keys.get((event.session, event.key)), self.answers.get((event.session, event.key))
+        if waits is None and kept is None:
+            return False
+        job = self.taken[waits].job if waits else kept.job
+        if (job.offering, job.customer, job.service, job.cores, job.memory) != (
+                event.offering, event.customer, event.service, event.cores, event.memory):
+            self.counts["turned away"] += 1
+            self.out.append(do.TurnAway(event.client, event.key, "this key names another job", 0.0))
+            return True
+        self.out.append(do.Take(event.client, event.key, job.id))
+        if kept:
+            self.out.append(do.Answer(event.client, event.key, job.id, do.Verdict(kept.verdict), kept.host))
+        else:
+            taken = self.taken[waits]
+            self.clients.get(taken.client, set()).discard(event.key)
+            taken.client = event.client
+            self.own(taken)
+        return True
+
+    def answer_seen(self, event: on.AnswerSeen) -> None:
+        kept = self.answers.pop((event.session, event.key), None)
+        if kept is not None:
+            self.out.append(do.KeepNoMore(kept.job.id))
+
+    def forget_due(self, key: tuple[str, str]) -> None:
+        self.answer_seen(on.AnswerSeen(*key))
+
     def turned_away(self, event: on.Submitted, offering) -> str:
         """Why it is not taken, or nothing. Only here can a job be refused without an answer being owed."""
         if offering is None:
@@ -163,7 +208,7 @@
             return "cores and memory have to be over 0"
         if not 0 <= event.wait < float("inf"):
             return "wait is no number of seconds"
-        if (event.client, event.key) in self.keys:
+        if (event.session or event.client, event.key) in self.keys:
             return "this key waits already"
         if not self.ready:
             return "no list of hosts yet"
@@ -172,11 +217,14 @@
         return ""
 
     def taken_back(self, event: on.TakenBack) -> None:
-        job_id = self.keys.pop((event.client, event.key), None)
+        job_id = self.keys.pop((event.session or event.client, event.key), None)
         if job_id is None:
             return
-        self.clients[event.client].discard(event.key)
+        self.clients.get(self.taken[job_id].client, set()).discard(event.key)
         del self.taken[job_id]
+        self.pending.pop(job_id, None)
+        if event.session:
+            self.out.append(do.KeepNoMore(job_id))
         launch = self.by_job.get(job_id)
         if launch is not None:
             launch.wanted = False
@@ -185,7 +233,11 @@
 
     def client_left(self, event: on.ClientLeft) -> None:
         for key in sorted(self.clients.get(event.client, ())):
-            self.taken_back(on.TakenBack(event.client, key))
+            if (event.client, key) in self.keys:
+                self.taken_back(on.TakenBack(event.client, key))
+        for taken in self.taken.values():
+            if taken.client == event.client:
+                taken.client = 0        # its session owns it: it goes on, and the answer is kept
         self.clients.pop(event.client, None)
 
     def answer(self, job_id: str, verdict: do.Verdict, host: str = "") -> None:
@@ -193,10 +245,18 @@
         taken = self.taken.pop(job_id, None)
         if taken is None:
             raise BrokenPromise(f"a second answer for {job_id}")
-        del self.keys[taken.client, taken.key]
-        self.clients[taken.client].discard(taken.key)
+        del self.keys[taken.owner, taken.key]
+        self.clients.get(taken.client, set()).discard(taken.key)
         self.counts[verdict.value] += 1
-        self.out.append(do.Answer(taken.client, taken.key, job_id, verdict, host))
+        self.out.append(do.Answer(taken.client, taken.key, job_id, verdict, host, bool(taken.session)))
+        if taken.session:
+            self.keep_answer(recovery.KeptAnswer(taken.session, taken.key, taken.job, verdict.value, host))
+
+    def keep_answer(self, kept: recovery.KeptAnswer) -> None:
+        self.answers[kept.session, kept.key] = kept
+        self.timers.arm(self.now + self.cluster.journal.answers_kept, "forget", (kept.session, kept.key))
+        if len(self.answers) > ANSWERS_MOST:
+            self.forget_due(next(iter(self.answers)))
 
     # -- launches
 
@@ -208,12 +268,14 @@
             raise BrokenPromise(f"a launch of {job_id} on {host}, which no list names")
         self.numbers += 1
         launch = Launch(on.LaunchId(self.life, self.numbers), taken.job,
-                        self.cluster.settings.offerings[taken.job.offering].effect, host, self.now + wait)
+                        self.cluster.settings.offerings[taken.job.offering].effect, host, self.now + wait,
+                        kept=bool(taken.session))
         self.launches[launch.id] = self.by_job[job_id] = launch
         record.launches[launch.id] = launch
         self.counts["launches"] += 1
         self.timers.arm(launch.due, "launch", launch.id)
-        self.out.append(do.SendLaunch(host, launch.id.number, taken.job, launch.due, record.listed.boot))
+        self.out.append(do.SendLaunch(host, launch.id.number, taken.job, launch.due, record.listed.boot,
+                                      launch.kept))
 
     def stop(self, launch: Launch) -> None:
         self.out.append(do.SendStop(launch.host, launch.id))
@@ -259,6 +321,8 @@
     def over(self, launch: Launch, result: Result, why: api.Why) -> None:
         stray = launch.state is State.STRAY
         self.forget(launch)
+        if launch.kept and result in (Result.UNREACHABLE, Result.UNSENT, Result.TURNED_AWAY):
+            self.out.append(do.KeepVoid(launch.id))
         if not stray:
             if result is Result.UNREACHABLE and launch.left:
                 self.counts["proven not run"] += 1
@@ -373,6 +437,8 @@
             reborn = replace(record.listed, boot=event.boot, age=event.age, free_cores=None, free_memory=None)
             self.tell(api.HostsListed((self.fleet.hear(self.now, reborn),), False, remembered=True))
         held = {item.launch: item for item in event.held}
+        if self.pending:
+            self.accounts.setdefault(event.host, recovery.Account(event.boot, dict(held), event.forgot))
         for launch in list(record.launches.values()):
             if not launch.left and launch.id.life == self.life:
                 continue        # it waits to be sent on this very link
@@ -383,6 +449,7 @@
             self.learn(launch, finding)
         for item in held.values():
             self.found(record, item)
+        self.settle_pending()
 
     def learn(self, launch: Launch, finding: launches.Finding | None) -> None:
         if finding is None or finding.phase is on.Phase.QUEUED:
@@ -403,6 +470,8 @@
             self.out.append(do.SendEndSeen(host, item.launch))
         elif offering is None or item.launch.life == self.life and offering.effect is not Effect.IRREVERSIBLE:
             self.out.append(do.SendStop(host, item.launch))
+        elif item.job.id in self.taken and item.job.id not in self.pending:
+            self.out.append(do.SendStop(host, item.launch))     # another course of it is under way
         elif item.job.id not in self.by_job:
             launch = Launch(item.launch, item.job, offering.effect, host, self.now, State.HELD, record.link,
                             record.boot, started=item.phase is on.Phase.RUNNING)
@@ -460,6 +529,7 @@
         self.lose_gone()
         if event.remembered or event.whole:
             self.ready = True
+        self.settle_pending()
         if event.whole or event.remembered:
             self.asking.add([h.id for h in event.hosts if h.mode is not Mode.GONE
                              and not self.fleet.hosts[h.id].asked and h.id not in self.asking.waiting])
@@ -475,6 +545,47 @@
     def list_failed(self, event: on.ListFailed) -> None:
         self.tell(api.ListLost())
 
+    # -- what an earlier life left
+
+    def recover(self, left_open: tuple[recovery.OpenJob, ...], answers: tuple[recovery.KeptAnswer, ...]) -> None:
+        """Before the first turn: jobs that this controller still owes an answer, and answers not confirmed."""
+        for kept in answers:
+            self.keep_answer(kept)
+        for job in left_open:
+            record = replace(job.job, expiry=self.now + job.expires_in)
+            self.own(Taken(0, job.key, record, job.session))
+            self.pending[record.id] = job
+            self.timers.arm(max(self.now, record.expiry - recovery.SETTLE_BEFORE), "settle", record.id)
+        if left_open:
+            self.timers.arm(self.now + recovery.PATIENCE, "settle", "")
+
+    def settle_pending(self) -> None:
+        for job_id in list(self.pending):
+            self.settle(job_id)
+
+    def settle_due(self, job_id: str) -> None:
+        if job_id:
+            self.settle(job_id)
+        else:
+            self.settle_pending()
+
+    def settle(self, job_id: str) -> None:
+        if job_id not in self.pending:
+            return
+        job, taken = self.pending[job_id], self.taken[job_id]
+        offering = self.cluster.settings.offerings.get(job.job.offering)
+        lost = {launch.host for launch in job.launches if self.ready and launch.host not in self.fleet.hosts}
+        step = recovery.next_step(
+            job, offering.effect if offering else Effect.IRREVERSIBLE, self.accounts, lost,
+            self.now >= self.begun + recovery.PATIENCE, self.now >= taken.job.expiry - recovery.SETTLE_BEFORE)
+        if step is recovery.Step.WAIT or step is recovery.Step.AGAIN and (not self.ready or not offering):
+            return
+        del self.pending[job_id]
+        if step is recovery.Step.AGAIN:
+            self.tell(api.JobArrived(taken.job))
+        else:
+            self.answer(job_id, VERDICTS[step], recovery.placed_at(job, self.accounts))
+
     # -- timers
 
     def module_due(self, key: str) -> None:
@@ -484,8 +595,11 @@
         """Only wakes the turn, which asks."""
 
 
+VERDICTS = {recovery.Step.PLACED: do.Verdict.PLACED, recovery.Step.REJECT: do.Verdict.REJECTED,
+            recovery.Step.WRITE_OFF: do.Verdict.WRITTEN_OFF}
 HANDLERS = {
     on.Submitted: Engine.submitted, on.TakenBack: Engine.taken_back, on.ClientLeft: Engine.client_left,
+    on.AnswerSeen: Engine.answer_seen,
     on.ListHeard: Engine.list_heard, on.ListFailed: Engine.list_failed,
     on.Left: Engine.left, on.Unsent: Engine.unsent, on.LinkUp: Engine.link_up, on.LinkDown: Engine.link_down, on.Fenced: Engine.fenced,
     on.Accepted: Engine.accepted, on.Refused: Engine.refused, on.Started: Engine.started, on.Used: Engine.used,
@@ -494,5 +608,5 @@
 RINGERS = {
     "module": Engine.module_due, "launch": Engine.launch_due, "stray": Engine.stray_due, "probe": Engine.probe_due,
     "launch at last": Engine.launch_due, "probe at last": Engine.probe_due, "asking": Engine.asking_due,
-    "relink": Engine.relink_due,
+    "relink": Engine.relink_due, "settle": Engine.settle_due, "forget": Engine.forget_due,
 }
--- a/linedeal/engine/events.py
+++ b/linedeal/engine/events.py
@@ -76,12 +76,22 @@
     cores: float
     memory: float
     wait: float                 # seconds; 0: as long as the offering allows
+    session: str = ""           # where not empty, the job belongs to it and not to the link
 
 
 @dataclass(frozen=True, slots=True)
 class TakenBack:
     client: int
     key: str
+    session: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerSeen:
+    """The session has its answer: it need not be kept any more."""
+
+    session: str
+    key: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/linedeal/engine/launches.py
+++ b/linedeal/engine/launches.py
@@ -28,6 +28,7 @@
     boot: int = 0               # of the host at the other end of that link
     wanted: bool = True         # False once its client has taken the job back
     started: bool = False
+    kept: bool = False          # it is in the journal
     unsend: bool = False        # the link was asked to keep it back
 
 
--- a/linedeal/settings/cluster.py
+++ b/linedeal/settings/cluster.py
@@ -52,11 +52,18 @@
     owner_wait: float = 3.0     # seconds an owner waits before asking again where a launch may run
 
 
+@dataclass(frozen=True, slots=True)
+class JournalSettings:
+    power: bool = False         # each commit outlives a loss of power, not only the death of the process
+    answers_kept: float = 600.0     # seconds for which an answer is kept for a session that has not confirmed it
+
+
 @dataclass(frozen=True, slots=True)
 class Cluster:
     settings: api.Settings
     limits: Limits
     rules: Rules
+    journal: JournalSettings
 
 
 BLOCKS = {
@@ -68,6 +75,7 @@
     "young": {"time": (float, 10.0), "offers": (float, 20.0), "span": (float, 3.0)},
     "rules": {name: (float, getattr(Rules(), name)) for name in Rules.__dataclass_fields__},
     "limits": {name: (type(getattr(Limits(), name)), getattr(Limits(), name)) for name in Limits.__dataclass_fields__},
+    "journal": {"power": (bool, False), "answers_kept": (float, JournalSettings().answers_kept)},
     "kind": {"cores": (float, NEEDED), "memory": (float, NEEDED)},
     "offering": {
         "expiry": (float, NEEDED), "value": (float, 1.0), "effect": (tuple(EFFECTS), NEEDED),
@@ -114,13 +122,14 @@
                 fault(where, "stands twice")
             else:
                 blocks[key][label] = values(BLOCKS[key], body, where, fault)
-    for key in ("cluster", "young", "rules", "limits"):
+    for key in ("cluster", "young", "rules", "limits", "journal"):
         if not blocks[key]:
             blocks[key][""] = values(BLOCKS[key], {}, key, fault)
     if lines:
         raise ConfigFault(lines)
     settings = to_settings(blocks)
     limits, rules = Limits(**blocks["limits"][""]), Rules(**blocks["rules"][""])
+    journal = JournalSettings(**blocks["journal"][""])
     for where, said in build.faults(settings) + build.doubts(settings):
         block, _, key = where.rpartition(".")
         fault(block or "cluster", f"{key} {said}")
@@ -128,9 +137,11 @@
         for key in record.__dataclass_fields__:
             if getattr(record, key) <= 0:
                 fault(block, f"{key} is {getattr(record, key):g}, over 0 is needed")
+    if journal.answers_kept <= 0:
+        fault("journal", f"answers_kept is {journal.answers_kept:g}, over 0 is needed")
     if lines:
         raise ConfigFault(lines)
-    return Cluster(settings, limits, rules)
+    return Cluster(settings, limits, rules, journal)
 
 
 def tree(text, name):
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,294 @@
+"""Jobs that outlive their controller: the journal, what recovery decides, and a kill at every step of a job's course."""
+
+import pytest
+
+from linedeal import interface as api
+from linedeal.engine import Engine
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
+from linedeal.engine.recovery import Account, OldLaunch, OpenJob, Step, next_step
+from linedeal.interface import Effect
+from linedeal.settings.cluster import parse_cluster
+from linedeal.state import Store, StoreFault
+from linedeal.state.journal import Journal, to_keep
+from tests.drive import CLUSTER, Drive
+
+JOB = api.Job("c.1.1", "feed", "", "s", 1.0, 1.0, 9.0)
+OLD = OldLaunch(on.LaunchId(1, 1), "a", 5)
+
+
+def account(boot=5, phase=None, forgot=False):
+    held = {OLD.id: on.Held(OLD.id, JOB, phase)} if phase else {}
+    return {"a": Account(boot, held, forgot)}
+
+
+NEVER_RAN, MAY_HAVE = account(), account(boot=6)
+
+
+@pytest.mark.parametrize("launches, accounts, effect, lost, over, up, step", [
+    ((), {}, "IRREVERSIBLE", (), False, False, Step.AGAIN),
+    ((), {}, "IRREVERSIBLE", (), False, True, Step.REJECT),
+    ((OLD,), {}, "IRREVERSIBLE", (), True, False, Step.WAIT),
+    ((OLD,), {}, "IRREVERSIBLE", (), True, True, Step.WRITE_OFF),
+    ((OLD,), {}, "REDOABLE", (), False, False, Step.WAIT),
+    ((OLD,), {}, "REDOABLE", (), True, False, Step.AGAIN),
+    ((OLD,), {}, "REDOABLE", (), True, True, Step.REJECT),
+    ((OLD,), NEVER_RAN, "IRREVERSIBLE", (), False, False, Step.AGAIN),
+    ((OLD,), NEVER_RAN, "IRREVERSIBLE", (), False, True, Step.REJECT),
+    ((OLD,), MAY_HAVE, "IRREVERSIBLE", (), False, False, Step.WAIT),
+    ((OLD,), MAY_HAVE, "IRREVERSIBLE", (), False, True, Step.WRITE_OFF),
+    ((OLD,), MAY_HAVE, "LABELLED", (), True, True, Step.WRITE_OFF),
+    ((OLD,), MAY_HAVE, "REDOABLE", (), False, False, Step.AGAIN),
+    ((OLD,), account(forgot=True), "IRREVERSIBLE", (), False, True, Step.WRITE_OFF),
+    ((OLD,), {}, "IRREVERSIBLE", ("a",), False, False, Step.WAIT),
+    ((OLD,), {}, "REDOABLE", ("a",), False, False, Step.AGAIN),
+    ((OldLaunch(OLD.id, "a", 5, void=True),), {}, "IRREVERSIBLE", (), False, False, Step.AGAIN),
+    ((OldLaunch(OLD.id, "a", 5, void=True),), {}, "IRREVERSIBLE", ("a",), False, False, Step.AGAIN),
+    ((OLD,), account(phase=on.Phase.ACCEPTED), "IRREVERSIBLE", (), False, False, Step.PLACED),
+    ((OLD,), account(phase=on.Phase.RUNNING), "REDOABLE", (), False, True, Step.PLACED),
+    ((OLD,), account(phase=on.Phase.OVER), "IRREVERSIBLE", (), False, False, Step.PLACED),
+    ((OLD,), account(phase=on.Phase.QUEUED), "IRREVERSIBLE", (), False, True, Step.WRITE_OFF),
+])
+def test_what_becomes_of_a_job(launches, accounts, effect, lost, over, up, step):
+    job = OpenJob("s", "k", JOB, 5.0, launches)
+    assert next_step(job, Effect[effect], accounts, set(lost), over, up) is step
+
+
+# the journal
+
+def take(key="k", job=JOB, expires_in=6.0):
+    return do.Take(1, key, job.id, "s", job, expires_in)
+
+
+def launch(number=1, job=JOB):
+    return do.SendLaunch("a", number, job, 3.0, 5, True)
+
+
+def test_what_is_written_comes_back(tmp_path):
+    journal = Journal(Store(tmp_path))
+    journal.write(100.0, 1, [take(), launch(1), do.KeepVoid(on.LaunchId(1, 1)), launch(2)])
+    found = journal.read(102.0, 6.0)
+    assert found.open == (OpenJob("s", "k", JOB, 4.0, (OldLaunch(on.LaunchId(1, 1), "a", 5, True),
+                                                       OldLaunch(on.LaunchId(1, 2), "a", 5))),)
+    journal.write(102.0, 1, [do.Answer(1, "k", JOB.id, do.Verdict.PLACED, "a", True)])
+    (kept,) = journal.read(103.0, 6.0).answers
+    assert (kept.session, kept.key, kept.job, kept.verdict, kept.host) == ("s", "k", JOB, "placed", "a")
+    journal.write(104.0, 1, [do.KeepNoMore(JOB.id)])
+    assert journal.read(105.0, 6.0).open == journal.read(105.0, 6.0).answers == ()
+
+
+@pytest.mark.parametrize("now, left", [(103.0, 3.0), (10.0, 6.0), (99999.0, 0.0)])
+def test_a_clock_that_jumped_makes_no_job_wait_longer_than_its_offering(tmp_path, now, left):
+    # guards against a clock set back by an hour: the job would be waited for that long
+    journal = Journal(Store(tmp_path))
+    journal.write(100.0, 1, [take()])
+    assert journal.read(now, 6.0).open[0].expires_in == left
+
+
+def test_a_turn_is_kept_whole_or_not_at_all(tmp_path):
+    journal = Journal(Store(tmp_path))
+    journal.write(100.0, 1, [launch(1)])
+    with pytest.raises(StoreFault, match="controller.db: journal cannot be written"):
+        journal.write(100.0, 1, [take(), launch(1)])     # the same launch number again
+    assert journal.read(100.0, 6.0).open == ()
+    journal.write(100.0, 1, [take()])                     # and it goes on
+
+
+def test_a_full_disk_is_a_plain_message(tmp_path):
+    journal = Journal(Store(tmp_path))
+    journal.db.execute("PRAGMA max_page_count=12")
+    with pytest.raises(StoreFault, match="full"):
+        for number in range(2000):
+            journal.write(1.0, 1, [launch(number)])
+    assert journal.read(1.0, 6.0).open == ()
+
+
+def test_a_record_that_was_changed_is_not_believed(tmp_path):
+    journal = Journal(Store(tmp_path))
+    journal.write(1.0, 1, [take()])
+    journal.db.execute("UPDATE jobs SET job = x'00'")
+    with pytest.raises(StoreFault, match="checksum"):
+        journal.read(1.0, 6.0)
+
+
+def test_answers_go_when_kept_long_enough(tmp_path):
+    journal = Journal(Store(tmp_path))
+    journal.write(1.0, 1, [take(), launch(), do.Answer(1, "k", JOB.id, do.Verdict.PLACED, "a", True)])
+    assert journal.compact(100.0, 600.0) == 0
+    assert journal.compact(700.0, 600.0) == 1
+    assert journal.db.execute("SELECT (SELECT count(*) FROM jobs) + (SELECT count(*) FROM launches)").fetchone() == (0,)
+
+
+# sessions at the engine
+
+def ask(d, now, offering="web", client=1, key="k", session="s", cores=1.0):
+    return d.turn(now, on.Submitted(client, key, offering, "", "v", cores, 1.0, 0.0, session))
+
+
+def test_a_sessions_job_is_kept_before_it_shows():
+    d = Drive()
+    effects = ask(d, 1.0)
+    assert [type(effect) for effect in to_keep(effects)] == [do.Take, do.SendLaunch]
+    assert not to_keep(d.submit(1.0, key="other"))      # without a session nothing is kept
+
+
+def test_the_same_key_joins_and_other_content_is_a_fault():
+    d = Drive()
+    first = d.only(do.Take, ask(d, 1.0))[0]
+    again = ask(d, 1.1, client=2)
+    assert [(type(e), e.client, getattr(e, "job", "")) for e in again] == [(do.Take, 2, first.job)]
+    assert d.only(do.TurnAway, ask(d, 1.2, client=2, cores=2.0))
+    sent = d.engine.by_job[first.job]
+    answers = d.only(do.Answer, d.turn(1.3, on.Accepted(sent.host, sent.id)))
+    assert [(answer.client, answer.keep) for answer in answers] == [(2, True)]
+
+
+def test_a_client_that_leaves_finds_its_answer_until_it_has_seen_it():
+    d = Drive()
+    job = d.only(do.Take, ask(d, 1.0))[0].job
+    assert not d.only(do.SendStop, d.turn(1.1, on.ClientLeft(1)))
+    sent = d.engine.by_job[job]
+    d.turn(1.2, on.Accepted(sent.host, sent.id))
+    answer = d.only(do.Answer, ask(d, 2.0, client=7))[0]
+    assert (answer.client, answer.verdict, answer.job) == (7, do.Verdict.PLACED, job)
+    assert d.turn(2.1, on.AnswerSeen("s", "k")) == [do.KeepNoMore(job)]
+    assert d.only(do.Take, ask(d, 2.2, client=7))[0].job != job     # confirmed: the key is free
+
+
+def test_a_refusal_is_known_to_the_next_life():
+    d = Drive()
+    job = d.only(do.Take, ask(d, 1.0, "feed"))[0].job
+    sent = d.engine.by_job[job]
+    assert do.KeepVoid(sent.id) in d.turn(1.1, on.Refused(sent.host, sent.id, api.Why.CORES))
+
+
+# a kill at every step
+
+class World:
+    """One client, one host, one journal on disk, and controllers that are killed. Time is passed by hand."""
+
+    def __init__(self, directory, offering, lost, reborn, confirms):
+        self.directory, self.offering, self.lost, self.reborn = directory, offering, lost, reborn
+        self.cluster = parse_cluster(CLUSTER.replace('confirms = "accepted"', f'confirms = "{confirms}"'))
+        self.confirms = confirms
+        self.now, self.life, self.steps, self.boot = 100.0, 0, 0, 1
+        self.held: dict[on.LaunchId, api.Job] = {}
+        self.runs = 0
+        self.answers: list[str] = []
+        self.reached: list[str] = []
+
+    def begin(self):
+        self.store = Store(self.directory)
+        self.life = self.store.next_life()
+        self.journal = Journal(self.store)
+        self.engine = Engine(self.cluster, "c", self.life, 7, self.now)
+        found = self.journal.read(self.now, 6.0)
+        self.engine.recover(found.open, found.answers)
+        listed = on.ListedHost("a", ("x",), "std", "z", 0, api.Mode.SERVING, self.boot, 99.0, 10.0, 20.0)
+        held = tuple(on.Held(i, job, on.Phase.RUNNING) for i, job in self.held.items())
+        self.events = [on.ListHeard((listed,), True, 1), on.LinkUp("a", 1, self.boot, 99.0, held)]
+        if not self.answers:
+            self.events.append(on.Submitted(self.life, "k", self.offering, "", "v", 1.0, 1.0, 0.0, "s"))
+
+    def run(self, crash_at=None):
+        """Until nothing is owed; False when the step at which to be killed came."""
+        ends = self.now + 8.0
+        while self.now < ends:
+            for event in self.events:
+                self.engine.put(event)
+            self.events = []
+            effects = self.engine.turn(self.now)
+            keep = to_keep(effects)
+            units = ([("journal " + "+".join(type(e).__name__ for e in keep), lambda: self.journal.write(
+                self.now, self.life, keep))] if keep else [])
+            units += [(type(effect).__name__, lambda effect=effect: self.carry(effect)) for effect in effects]
+            for name, unit in units:
+                if self.steps == crash_at:
+                    self.reached.append(name)
+                    self.kill(name, unit)
+                    return False
+                self.steps += 1
+                unit()
+            if not self.events:
+                self.now = min(ends, max(self.now + 0.001, self.engine.next_due()))
+        return True
+
+    def kill(self, name, unit):
+        if name == "SendLaunch" and not self.lost:
+            unit()              # the bytes had left; the controller dies before it hears of them
+        self.store.close()
+        self.events = []
+        self.now += 0.5
+        if self.reborn:
+            self.boot += 1
+            self.held.clear()
+
+    def carry(self, effect):
+        if isinstance(effect, do.SendLaunch):
+            self.events.append(on.Left("a", 1, (effect.number,)))
+            launch_id = on.LaunchId(self.life, effect.number)
+            self.held[launch_id] = effect.job
+            self.runs += 1
+            self.events.append((on.Started if self.confirms == "running" else on.Accepted)("a", launch_id))
+        elif isinstance(effect, do.Answer) and effect.client == self.life:
+            self.answers.append(effect.verdict.value)
+            self.events.append(on.AnswerSeen("s", "k"))
+
+
+def lives(directory, offering, lost, reborn, confirms, crashes):
+    """The world after kills at the given steps, the last life left to finish."""
+    world = World(directory, offering, lost, reborn, confirms)
+    for crash in crashes:
+        world.begin()
+        if world.run(crash):
+            break
+        world.steps = 0
+    else:
+        world.begin()
+        world.run()
+    world.store.close()
+    return world
+
+
+@pytest.mark.parametrize("confirms", ["accepted", "running"])
+@pytest.mark.parametrize("offering", ["web", "mail", "feed"])
+@pytest.mark.parametrize("lost, reborn", [(False, False), (True, False), (False, True), (True, True)])
+def test_a_kill_at_every_step_leaves_one_answer(tmp_path, offering, lost, reborn, confirms):
+    reached, crash = set(), 0
+    while True:
+        world = lives(tmp_path / str(crash), offering, lost, reborn, confirms, [crash])
+        if not world.reached:
+            break
+        reached |= set(world.reached)
+        told = (world.reached, world.answers, world.runs)
+        assert len(world.answers) == 1, told
+        if offering != "web":
+            assert world.runs <= 1, told
+            assert world.runs == 0 or world.answers != ["rejected"], told
+        if not reborn:
+            assert world.answers == ["placed"], told        # nothing is given up that could be known
+        crash += 1
+    assert {"journal Take+SendLaunch", "SendLaunch", "Take", "journal Answer", "Answer",
+            "journal KeepNoMore"} <= reached
+
+
+@pytest.mark.parametrize("offering", ["web", "feed"])
+def test_killed_again_during_recovery(tmp_path, offering):
+    for first in range(8):
+        for second in range(8):
+            world = lives(tmp_path / f"{first}-{second}", offering, False, False, "accepted", [first, second])
+            assert world.answers == ["placed"], (world.reached, world.answers, world.runs)
+            assert offering == "web" or world.runs == 1
+
+
+def test_a_job_whose_host_never_speaks_again_is_answered_in_time(tmp_path):
+    # guards against a press-feed job that waits for an account which never comes
+    for crash in range(20):
+        world = World(tmp_path / str(crash), "feed", False, False, "accepted")
+        world.begin()
+        if not world.run(crash) and world.runs:
+            break       # killed as the launch left
+    world.begin()
+    world.events = [event for event in world.events if not isinstance(event, on.LinkUp)]
+    world.run()
+    assert world.answers == ["written off"] and world.runs == 1
