--- a/linedeal/cli.py
+++ b/linedeal/cli.py
@@ -231,15 +231,25 @@
 def submit(offering: str, to: Annotated[str, typer.Option(help="HOST:PORT of a controller")],
            service: str = "by-hand", customer: str = "", cores: float = 1.0, memory: float = 1.0,
            wait: Annotated[float, typer.Option(help="seconds; 0: as long as the offering allows")] = 0.0,
+           session: Annotated[str, typer.Option(help="the job outlives link and controller; needs --key")] = "",
+           key: Annotated[str, typer.Option(help="of the job in its session; asked for again, it is joined")] = "",
+           within: Annotated[float, typer.Option(help="seconds to go on asking, with --session")] = 60.0,
            as_json: Json = False):
     """One job by hand; waits for its answer. Exit status 0 only if it was placed."""
-    from linedeal.client import Client, ClientLost, JobAsk, TurnedAway
+    from linedeal.client import Client, ClientLost, JobAsk, TurnedAway, submit_in_session
     from linedeal.net import TcpNet
 
+    if bool(session) != bool(key):
+        raise Fault("--session and --key go together", 2)
+    ask = JobAsk(offering, customer, service, cores, memory, wait)
+
     async def work():
         try:
-            async with Client.connect(TcpNet(), address_of(to), "submit") as client:
-                answer = await client.submit(JobAsk(offering, customer, service, cores, memory, wait))
+            if session:
+                answer = await submit_in_session(TcpNet(), address_of(to), session, key, ask, within)
+            else:
+                async with Client.connect(TcpNet(), address_of(to), "submit") as client:
+                    answer = await client.submit(ask)
             return {"verdict": answer.verdict, "job": answer.job, "host": answer.host}
         except* TurnedAway as group:
             error = processes.unwrap(group)
@@ -247,6 +257,8 @@
         except* ClientLost as group:
             error = processes.unwrap(group)
             return_value.update(verdict="lost", reason=str(error), may_have_run=error.taken)
+        except* TimeoutError:
+            return_value.update(verdict="no answer", reason=f"none within {within:g} s; the same call joins the job")
 
     return_value: dict = {}
     found = run(work) or return_value
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -8,7 +8,7 @@
 import pytest
 import structlog
 
-from linedeal.client import Client, ClientLost, JobAsk, TurnedAway
+from linedeal.client import Client, ClientLost, JobAsk, TurnedAway, submit_in_session
 from linedeal import interface as api
 from linedeal.controller.hostlink import HostLink
 from linedeal.controller.inbox import Inbox
@@ -408,3 +408,31 @@
     await cluster.until(lambda: server.model.queue)
     await anyio.aclose_forcefully(stream)
     await cluster.until(lambda: not cluster.runtime.engine.taken and not server.model.copies)
+
+
+@pytest.mark.parametrize("when", ["before the yes", "after the answer"])
+async def test_a_sessions_job_is_answered_once_over_its_controllers_death(cluster, when):
+    # guards against a press-feed job that is asked for again, and runs twice, since its controller died
+    server = await cluster.host("a", look=0.3)
+    await cluster.controller()
+    first, ask = cluster.runtime, JobAsk("feed", "", "s", 1.0, 1.0)
+    answers = []
+
+    async def owner():
+        answers.append(await submit_in_session(cluster.net, cluster.address, "school", "reader-1", ask, 20.0))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(owner)
+        await cluster.until(lambda: server.model.copies if when == "before the yes" else answers)
+        first.tasks.cancel_scope.cancel()       # as a kill: nothing is answered or written any more
+        first.store.close()
+        await anyio.sleep(0.5)
+        cluster.address = (await restart(cluster, cluster.address))
+    again = await submit_in_session(cluster.net, cluster.address, "school", "reader-2", ask, 5.0)
+    assert [answer.verdict for answer in answers + [again]] == ["placed", "placed"]
+    assert len(server.model.copies) == 2 and cluster.runtime.life == first.life + 1
+
+
+async def restart(cluster, address):
+    setup = Setup("c", cluster.cluster, address, cluster.watched, 7)
+    cluster.runtime = Runtime(setup, Store(cluster.directory), cluster.net, cluster.runtime.log)
+    return await cluster.tasks.start(cluster.runtime.run)
