--- a/benchmarks/controller_pace.py
+++ b/benchmarks/controller_pace.py
@@ -96,14 +96,15 @@
             age=1e6 + 999, free_cores=64, free_memory=256))
 
 
-async def load(address, rate, seconds, hosts):
+async def load(address, rate, seconds, hosts, journal):
     """Submits at a steady rate over four links; returns sent times by job, and answers."""
-    sent, placed, taken = {}, [0], {}
+    sent, placed, taken, told = {}, [0], {}, HdrHistogram(1, 60_000_000, 3)
 
     async def one(number, *, task_status):
-        rng = random.Random(number)
+        rng, writing = random.Random(number), anyio.Lock()
         link = Link(await TcpNet().connect(address))
-        await link.send(encode(pb.Hello(version=1, role=pb.CLIENT, name=f"load{number}")))
+        await link.send(encode(pb.Hello(version=1, role=pb.CLIENT, name=f"load{number}",
+                                        session=f"load{number}" if journal != "off" else "")))
         await link.receive()
         task_status.started()
 
@@ -112,8 +113,12 @@
                 for message in await link.receive_all():
                     if isinstance(message, pb.Taken):
                         taken[message.job] = sent[message.key]
+                        told.record_value(max(1, int((anyio.current_time() - sent[message.key]) * 1e6)))
                     elif isinstance(message, pb.Answer):
                         placed[0] += message.verdict == pb.PLACED
+                        if journal != "off":
+                            async with writing:
+                                await link.send(encode(pb.AnswerSeen(key=message.key)))
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(read)
@@ -127,14 +132,15 @@
                 job = pb.JobSpec(offering=rng.choice(("web", "web", "feed")), service=f"s{rng.randrange(50)}",
                                  cores=rng.choice((0.5, 1, 2)), memory=rng.choice((1, 2, 4)))
                 sent[key] = anyio.current_time()
-                await link.send(encode(pb.Submit(key=key, job=job)))
+                async with writing:
+                    await link.send(encode(pb.Submit(key=key, job=job)))
             await anyio.sleep(1.5)
             tasks.cancel_scope.cancel()
 
     async with anyio.create_task_group() as tasks:
         for number in range(4):
             await tasks.start(one, number)
-    return sent, taken, placed[0]
+    return sent, taken, placed[0], told
 
 
 def module_alone(jobs):
@@ -164,11 +170,11 @@
     return jobs / (time.process_time() - begun)
 
 
-async def run(rate, seconds, profile):
+async def run(rate, seconds, profile, journal):
     net = TcpNet()
     with tempfile.TemporaryDirectory() as directory:
         cluster = Path(directory) / "cluster.hcl"
-        cluster.write_text(CLUSTER)
+        cluster.write_text(CLUSTER + "journal {\n  power = %s\n}\n" % ("true" if journal == "power" else "false"))
         async with anyio.create_task_group() as tasks:
             discovery = Discovery(net)
             watched = await tasks.start(discovery.run, ("127.0.0.1", 0))
@@ -185,7 +191,7 @@
             address = parse_address(json.loads(line)["address"])
             await anyio.sleep(HOSTS / 20 + 1)       # each host has been asked what it holds
             before = cpu_of(process.pid)
-            sent, taken, placed = await load(address, rate, seconds, hosts)
+            sent, taken, placed, told = await load(address, rate, seconds, hosts, journal)
             busy = cpu_of(process.pid) - before
             memory = int(re.search(r"VmHWM:\s+(\d+)", Path(f"/proc/{process.pid}/status").read_text()).group(1))
             delays = HdrHistogram(1, 60_000_000, 3)
@@ -202,7 +208,7 @@
                     print(text.decode()[:4000])
             await process.wait()
             tasks.cancel_scope.cancel()
-    return len(sent), len(taken), placed, delays, busy, memory
+    return len(sent), len(taken), placed, delays, told, busy, memory
 
 
 def cpu_of(pid):
@@ -213,18 +219,21 @@
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("--rates", default="250,500,750")
+    parser.add_argument("--journal", default="off", help="off, process, power: which of them, with commas")
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--profile", action="store_true")
     args = parser.parse_args()
     print(f"{HOSTS} stand-in hosts, 4 client links, {args.seconds:g} s at each rate, jobs that run {LIFE:g} s")
     alone = module_alone(8000)
     print(f"module alone: {alone:.0f} jobs a second of CPU")
-    print(f"{'rate':>6}{'taken/s':>9}{'placed':>8}{'p50 ms':>8}{'p99':>8}{'p99.9':>8}{'CPU share':>11}"
+    print(f"{'journal':<9}{'rate':>6}{'taken/s':>9}{'placed':>8}{'p50 ms':>8}{'p99':>8}{'p99.9':>8}{'tak p50':>8}{'p99':>8}{'CPU share':>11}"
           f"{'jobs/CPU s':>12}{'of module':>11}{'MiB':>6}")
-    for rate in [float(text) for text in args.rates.split(",")]:
-        asked, taken, placed, delays, busy, memory = anyio.run(run, rate, args.seconds, args.profile, backend_options={"use_uvloop": True})
+    for journal, rate in [(j, float(text)) for text in args.rates.split(",") for j in args.journal.split(",")]:
+        asked, taken, placed, delays, told, busy, memory = anyio.run(
+            run, rate, args.seconds, args.profile, journal, backend_options={"use_uvloop": True})
         points = [delays.get_value_at_percentile(p) / 1000 for p in (50, 99, 99.9)]
-        print(f"{rate:>6.0f}{taken / args.seconds:>9.0f}{placed / max(1, asked):>8.1%}"
+        points += [told.get_value_at_percentile(p) / 1000 for p in (50, 99)]
+        print(f"{journal:<9}{rate:>6.0f}{taken / args.seconds:>9.0f}{placed / max(1, asked):>8.1%}"
               + "".join(f"{point:>8.2f}" for point in points)
               + f"{busy / args.seconds:>11.0%}{taken / busy:>12.0f}{taken / busy / alone:>11.2f}{memory / 1024:>6.0f}")
 
