--- a/benchmarks/controller_pace.py
+++ b/benchmarks/controller_pace.py
@@ -150,7 +150,7 @@
     entries = tuple(api.HostEntry(f"h{i}", "std", "z", 0, api.Mode.SERVING, 0.0, 64.0, 256.0) for i in range(HOSTS))
     module.begin()
     module.handle(0.0, api.HostsListed(entries, True))
-    out, now, ends = [], 0.0, []
+    now, ends = 0.0, []
     begun = time.process_time()
     for number in range(jobs):
         now += 1 / 800
--- a/linedeal/client/client.py
+++ b/linedeal/client/client.py
@@ -12,9 +12,8 @@
 
 from linedeal.net import Address, Link, LinkLost, Net
 from linedeal.net.base import LOST, reason
-from linedeal.protocol import encode, pb
+from linedeal.protocol import VERSION, encode, pb
 
-VERSION = 1
 VERDICTS = {pb.PLACED: "placed", pb.REJECTED: "rejected", pb.WRITTEN_OFF: "written off"}
 
 
--- a/linedeal/controller/front.py
+++ b/linedeal/controller/front.py
@@ -11,10 +11,9 @@
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
 from linedeal.net import Address, Link, LinkLost, Net, until_lost
-from linedeal.protocol import encode, pb
+from linedeal.protocol import VERSION, encode, pb
 from linedeal.settings.cluster import Limits
 
-VERSION = 1
 SESSION_MOST = 200  # characters of a session's name
 KEY_MOST = 200      # characters of a client's key for a job
 
--- a/linedeal/controller/hostlink.py
+++ b/linedeal/controller/hostlink.py
@@ -14,10 +14,9 @@
 from linedeal.interface import Mode
 from linedeal.net import Link, LinkLost, Net, parse_address, until_lost
 from linedeal.net.base import LOST, reason
-from linedeal.protocol import encode, pb
+from linedeal.protocol import VERSION, encode, pb
 from linedeal.settings.cluster import Limits
 
-VERSION = 1
 WRITE_MOST = 65536      # bytes taken for one write: what is in it has left, so it is not all that waits
 
 
--- a/linedeal/controller/watch.py
+++ b/linedeal/controller/watch.py
@@ -7,11 +7,9 @@
 from linedeal.engine import events as on
 from linedeal.net import Address, Link, LinkLost, Net, until_lost
 from linedeal.net.base import LOST, reason
-from linedeal.protocol import encode, pb
+from linedeal.protocol import VERSION, encode, pb
 from linedeal.settings.cluster import Limits
 
-VERSION = 1
-
 
 class DiscoveryWatch:
     def __init__(self, address: Address, controller: str, life: int, net: Net, limits: Limits, inbox: Inbox, log):
--- a/linedeal/net/base.py
+++ b/linedeal/net/base.py
@@ -1,6 +1,6 @@
 """The seam between the program and the network."""
 
-from typing import Awaitable, Callable, NamedTuple, Protocol
+from typing import Awaitable, Callable, Protocol
 
 import anyio
 
@@ -31,13 +31,6 @@
 LOST = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
-class Bound(NamedTuple):
-    """Of what may wait to be written to one peer."""
-
-    frames: int
-    bytes: int
-
-
 class Link:
     """Whole messages over one stream. Reading and writing may be in different tasks."""
 
--- a/linedeal/settings/cluster.py
+++ b/linedeal/settings/cluster.py
@@ -49,7 +49,6 @@
 class Rules:
     answer_slack: float = 0.5   # seconds after a job's expiry within which its answer counts as in time
     drain_grace: float = 1.0    # seconds from being told of a drain to the last send
-    owner_wait: float = 3.0     # seconds an owner waits before asking again where a launch may run
 
 
 @dataclass(frozen=True, slots=True)
