--- a/linedeal/controller/front.py
+++ b/linedeal/controller/front.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from linedeal.controller import translate
+from linedeal.controller import owners, translate
 from linedeal.controller.inbox import Inbox
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
@@ -23,7 +23,8 @@
     number: int
     link: Link
     name: str = ""
-    session: str = ""
+    session: str = ""           # qualified by the customer whose key it has shown: nobody else can name it
+    proven: str = ""
     outbox: deque = field(default_factory=deque)
     waiting: int = 0            # bytes in it
     jobs: int = 0               # taken and not answered
@@ -32,7 +33,8 @@
 
 
 class Front:
-    def __init__(self, controller: str, net: Net, limits: Limits, inbox: Inbox, log):
+    def __init__(self, controller: str, net: Net, limits: Limits, keys: owners.Keys, inbox: Inbox, log):
+        self.keys = keys
         self.controller, self.net, self.limits, self.inbox, self.log = controller, net, limits, inbox, log
         self.clients: dict[int, Client] = {}
         self.numbers = 0
@@ -46,7 +48,7 @@
         client = self.clients.get(number)
         if client is None:
             return
-        if not isinstance(effect, do.Take):
+        if isinstance(effect, (do.TurnAway, do.Answer)):
             client.jobs -= 1
         data = encode(translate.to_client(effect))
         client.outbox.append(data)
@@ -85,7 +87,13 @@
                 hello = await client.link.receive()
                 if not isinstance(hello, pb.Hello):
                     raise LinkLost(f"{type(hello).__name__} in place of a hello")
-                client.name, client.session = hello.name[:80], hello.session[:SESSION_MOST]
+                try:
+                    client.proven = owners.admit(self.keys, hello.customer, hello.token)
+                except owners.NotAdmitted as error:
+                    await client.link.send(encode(pb.Bye(reason=str(error))))
+                    raise LinkLost(str(error)) from None
+                client.name = hello.name[:80]
+                client.session = owners.qualified(client.proven, hello.session[:SESSION_MOST])
                 await client.link.send(encode(pb.Welcome(version=min(hello.version, VERSION), name=self.controller)))
         except TimeoutError:
             raise LinkLost(f"no hello within {self.limits.hello:g} s") from None
@@ -98,8 +106,8 @@
             with anyio.move_on_after(self.limits.client_idle) as idle:
                 messages = await client.link.receive_all()
             if idle.cancelled_caught:
-                if client.jobs:
-                    continue
+                if client.jobs or client.session:
+                    continue        # a session's owner may wait for days, and is told when something happens
                 raise LinkLost(f"idle for {self.limits.client_idle:g} s")
             await self.inbox.post(*[self.event(client, message) for message in messages])
 
@@ -107,7 +115,7 @@
         match message:
             case pb.Submit() if 0 < len(message.key) <= KEY_MOST:
                 client.jobs += 1
-                return translate.submitted(client.number, client.session, message)
+                return translate.submitted(client.number, client.session, client.proven, message)
             case pb.Submit():
                 raise LinkLost(f"a key of {len(message.key)} characters, 1 to {KEY_MOST} are taken")
             case pb.TakeBack():
@@ -115,6 +123,12 @@
                 return on.TakenBack(client.number, message.key, client.session)
             case pb.AnswerSeen():
                 return on.AnswerSeen(client.session, message.key)
+            case pb.Forget():
+                return on.Forgotten(client.session, message.key)
+            case pb.Order() if message.kind in translate.ORDERS:
+                return on.Ordered(client.number, client.session, message.key, translate.ORDERS[message.kind])
+            case pb.AskStanding():
+                return on.StandingAsked(client.number, client.session, message.key, message.after)
         raise LinkLost(f"a client may not send {type(message).__name__}")
 
     async def let_go(self, client: Client) -> None:
--- a/linedeal/controller/hostlink.py
+++ b/linedeal/controller/hostlink.py
@@ -198,7 +198,8 @@
                     self.inbox.put(on.Unsent(self.listed.id, (number,)))
                 case do.SendLaunch(_, number, job, due):
                     numbers.append(number)
-                    data += encode(pb.Offer(launch=self.own(number), job=translate.spec_of(job), wait=due - now))
+                    data += encode(pb.Offer(launch=self.own(number), job=translate.spec_of(job, effect.work),
+                                            wait=due - now))
                 case do.SendProbe(_, number):
                     data += encode(pb.Probe(number=number))
                 case do.SendStop(_, launch):
--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -18,11 +18,11 @@
 from linedeal.net import Address, Net
 from linedeal.policy import Controller
 from linedeal.settings.cluster import Cluster
-from linedeal.state import Store, StoreFault
+from linedeal.state import Store, StoreFault, steady
 from linedeal.state.journal import Journal, to_keep
 
 KEEP_EVERY = 1.0        # seconds between two writes of the list
-COMPACT_EVERY = 60.0    # seconds between two looks for answers kept long enough
+ROOM_EVERY = 1.0        # seconds between two looks at the journal's room and for answers kept long enough
 TELL_EVERY = 10.0       # seconds between two lines that sum up
 
 
@@ -43,7 +43,11 @@
     def __init__(self, setup: Setup, store: Store, net: Net, log, policy=Controller):
         self.setup, self.store, self.net = setup, store, net
         self.life = store.next_life()       # on disk before anything of this life can be sent
-        self.journal = Journal(store, setup.cluster.journal.power)
+        kept = setup.cluster.journal
+        self.journal = Journal(store, kept.power, kept.most, kept.spare)
+        self.clock = steady.go_on(store.clock(), steady.this_machine(), steady.monotonic(), time.time(),
+                                  self.journal.last_written())
+        store.keep_clock(self.clock.base)
         self.disk = anyio.Lock()            # one connection: one transaction at a time
         self.log = log.bind(controller=setup.name, life=self.life)
         self.policy = policy
@@ -58,7 +62,7 @@
         self.engine = Engine(self.setup.cluster, self.setup.name, self.life, self.setup.seed + self.life, now,
                              self.policy)
         self.inbox = Inbox(self.engine.put)
-        self.front = Front(self.setup.name, self.net, limits, self.inbox, self.log)
+        self.front = Front(self.setup.name, self.net, limits, self.setup.cluster.keys, self.inbox, self.log)
         self.watch = DiscoveryWatch(self.setup.discovery, self.setup.name, self.life, self.net, limits, self.inbox,
                                     self.log)
         numbers = itertools.count(1)
@@ -93,7 +97,9 @@
 
     def recover(self) -> None:
         longest = max(offering.expiry for offering in self.setup.cluster.settings.offerings.values())
-        found = self.journal.read(self.time_of_day(), longest)
+        found = self.journal.read(self.time_of_day(), longest, self.clock.doubt)
+        if self.clock.doubt:
+            self.log.warning("the time of day was set back: no window of an earlier life is believed")
         if found.open or found.answers:
             self.log.info("journal read", owed=len(found.open), answers=len(found.answers))
         self.engine.recover(found.open, found.answers)
@@ -106,6 +112,8 @@
         else:
             async with self.disk:
                 self.journal.write(self.time_of_day(), self.life, effects)
+        if self.journal.full:
+            self.mind_room(True)
 
     async def compact(self) -> None:
         """Answers that no session has confirmed go in the end, some at a time."""
@@ -113,10 +121,20 @@
             try:
                 dropped = await self.on_disk(self.journal.compact, self.time_of_day(),
                                              self.setup.cluster.journal.answers_kept)
+                self.mind_room(await self.on_disk(self.journal.look))
             except StoreFault as error:
                 self.log.error("journal not compacted", reason=str(error))
                 dropped = 0
-            await anyio.sleep(0.1 if dropped else COMPACT_EVERY)
+            await anyio.sleep(0.1 if dropped else ROOM_EVERY)
+
+    def mind_room(self, full: bool) -> None:
+        if full != self.engine.full:
+            self.engine.full = full
+            if full:
+                self.log.error("journal is full: sessions' jobs are turned away", used=self.journal.used(),
+                               most=self.journal.most)
+            else:
+                self.log.info("journal has room again", used=self.journal.used())
 
     async def turn_until_left(self) -> None:
         ends = float("inf")
@@ -150,7 +168,7 @@
                 LINK_EFFECTS[kind](link, effect)
             elif kind is do.SendLaunch:
                 self.inbox.put(on.Unsent(effect.host, (effect.number,)))
-        elif kind in (do.Take, do.TurnAway, do.Answer):
+        elif kind in CLIENT_EFFECTS:
             self.front.send(effect.client, effect)
         elif kind is do.KnowHost:
             self.know(effect.host)
@@ -204,7 +222,7 @@
             return await anyio.to_thread.run_sync(call, *args)
 
     def time_of_day(self) -> float:
-        return time.time()
+        return self.clock.at(steady.monotonic())
 
     async def tell(self) -> None:
         while True:
@@ -223,4 +241,5 @@
     do.SendEndSeen: HostLink.tell,
     do.SendProbe: HostLink.probe,
 }
-ONLY_KEPT = (do.KeepVoid, do.KeepNoMore)
+ONLY_KEPT = (do.KeepVoid, do.KeepNoMore, do.KeepHold, do.KeepCourse)
+CLIENT_EFFECTS = (do.Take, do.TurnAway, do.Answer, do.Standing, do.AllTold, do.Reply)
--- a/linedeal/controller/translate.py
+++ b/linedeal/controller/translate.py
@@ -1,8 +1,11 @@
 """The protocol's messages to the engine's events, and its effects to messages. Decides nothing."""
 
+from google.protobuf.message import DecodeError
+
 from linedeal import interface as api
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
+from linedeal.engine.control import Fault, OrderKind
 from linedeal.net import LinkLost
 from linedeal.protocol import pb
 
@@ -14,6 +17,9 @@
 PHASES = {pb.QUEUED: on.Phase.QUEUED, pb.ACCEPTED: on.Phase.ACCEPTED, pb.RUNNING: on.Phase.RUNNING,
           pb.OVER: on.Phase.OVER}
 MODES = {pb.SERVING: api.Mode.SERVING, pb.DRAINING: api.Mode.DRAINING, pb.GONE: api.Mode.GONE}
+ORDERS = {pb.HOLD: OrderKind.HOLD, pb.RELEASE: OrderKind.RELEASE, pb.END: OrderKind.END}
+ORDER_CODES = {kind: code for code, kind in ORDERS.items()}
+FAULTS = {Fault.NONE: pb.FAULT_NONE, Fault.NO_SUCH_JOB: pb.NO_SUCH_JOB, Fault.WRONG_STATE: pb.WRONG_STATE}
 VERDICTS = {do.Verdict.PLACED: pb.PLACED, do.Verdict.REJECTED: pb.REJECTED, do.Verdict.WRITTEN_OFF: pb.WRITTEN_OFF}
 
 
@@ -25,14 +31,22 @@
     return api.Job(spec.id, spec.offering, spec.customer, spec.service, spec.cores, spec.memory, 0.0)
 
 
-def spec_of(job: api.Job) -> pb.JobSpec:
+def spec_of(job: api.Job, work: bytes = b"") -> pb.JobSpec:
     return pb.JobSpec(id=job.id, offering=job.offering, customer=job.customer, service=job.service, cores=job.cores,
-                      memory=job.memory)
+                      memory=job.memory, work=work)
+
+
+def ran_of(message) -> on.Ran | None:
+    """How a run ended, where the host told it."""
+    if not message.HasField("ran"):
+        return None
+    ran = message.ran
+    return on.Ran(ran.status if ran.HasField("status") else None, ran.seconds, ran.core_seconds, ran.memory)
 
 
 def held(item) -> on.Held:
     return on.Held(launch_id(item.launch), job_of(item.job), PHASES.get(item.phase, on.Phase.ACCEPTED),
-                   RESULTS.get(item.outcome, api.Result.ERROR), WHYS.get(item.reason, api.Why.UNTOLD))
+                   RESULTS.get(item.outcome, api.Result.ERROR), WHYS.get(item.reason, api.Why.UNTOLD), ran_of(item))
 
 
 def listed(entry) -> on.ListedHost:
@@ -62,7 +76,7 @@
             return on.Served(host, launch_id(message.launch), message.served, message.host_memory)
         case pb.Ended():
             return on.Over(host, launch_id(message.launch), RESULTS.get(message.outcome, api.Result.ERROR),
-                           WHYS.get(message.reason, api.Why.UNTOLD))
+                           WHYS.get(message.reason, api.Why.UNTOLD), ran_of(message))
         case pb.Report():
             return on.Reported(host, message.number, dict(message.figures)) if message.number else None
         case pb.Bye():
@@ -72,10 +86,29 @@
     raise LinkLost(f"a host may not send {type(message).__name__}")
 
 
-def submitted(client: int, session: str, message) -> on.Submitted:
+def submitted(client: int, session: str, proven: str, message) -> on.Submitted:
     job = message.job
-    return on.Submitted(client, message.key, job.offering, job.customer, job.service, job.cores, job.memory,
-                        message.wait, session)
+    return on.Submitted(client, message.key, job.offering, job.customer or proven, job.service, job.cores, job.memory,
+                        message.wait, session, proven, job.work, message.follow, message.hold, message.start_in)
+
+
+def standing(effect: do.Standing) -> pb.Standing:
+    ran = None
+    if effect.ran is not None:
+        ran = pb.Ran(status=effect.ran.status, seconds=effect.ran.seconds, core_seconds=effect.ran.core_seconds,
+                     memory=effect.ran.memory)
+    return pb.Standing(
+        key=effect.key, job=spec_of(effect.job), stage=pb.Stage.Value(f"STAGE_{effect.stage.name}"), host=effect.host,
+        reason=effect.reason, ran=ran, taken_ago=effect.taken_ago, placed_ago=effect.placed_ago,
+        ended_ago=effect.ended_ago, name=name_of(effect.work), ending=effect.ending)
+
+
+def name_of(work: bytes) -> str:
+    """The name that a job's owner gave it; the one thing in its work that is shown."""
+    try:
+        return pb.Work.FromString(work).name[:200] if work else ""
+    except DecodeError:
+        return ""       # it is the owner's and the host's affair, nothing here depends on it
 
 
 def to_client(effect):
@@ -87,4 +120,11 @@
             return pb.TurnedAway(key=key, reason=reason, retry_after=retry_after)
         case do.Answer(_, key, job, verdict, host):
             return pb.Answer(key=key, job=job, verdict=VERDICTS[verdict], host=host)
+        case do.Standing():
+            return standing(effect)
+        case do.AllTold(_, more):
+            return pb.AllTold(more=more)
+        case do.Reply(_, key, kind, fault, reason):
+            return pb.Ordered(key=key, kind=ORDER_CODES.get(kind, pb.ORDER_UNKNOWN), fault=FAULTS[fault],
+                              reason=reason or (fault.value if fault is not Fault.NONE else ""))
     raise TypeError(f"no message for {effect!r}")
--- a/linedeal/engine/effects.py
+++ b/linedeal/engine/effects.py
@@ -3,7 +3,9 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from linedeal.engine.events import LaunchId, ListedHost
+from linedeal.engine.control import Fault, OrderKind
+from linedeal.engine.events import LaunchId, ListedHost, Ran
+from linedeal.engine.ledger import Stage
 from linedeal.interface import Job
 
 
@@ -42,6 +44,7 @@
     due: float                  # when it is given up
     boot: int                   # of the host, as it was known when this was decided
     keep: bool = False          # to be on disk before its first byte leaves
+    work: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +96,11 @@
     job: str
     session: str = ""
     record: Job | None = None   # to be on disk before the client is told, where a session owns it
-    expires_in: float = 0.0     # seconds
+    expires_in: float = 0.0     # seconds, from its release or start time where there is one
+    work: bytes = b""
+    follow: bool = False
+    held: bool = False
+    start_in: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +121,65 @@
     verdict: Verdict
     host: str = ""
     keep: bool = False          # to be on disk before the client is told
+    launch: LaunchId | None = None
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class KeepHold:
+    """Held by its owner, with `left` seconds to wait for a host once released; or released, with those."""
+
+    job: str
+    held: bool
+    left: float
+    start_in: float
+
+
+@dataclass(frozen=True, slots=True)
+class KeepCourse:
+    """How far a placed job is; `stage` is the name of a ledger.Stage."""
+
+    job: str
+    stage: str
+    reason: str
+    ran: Ran | None
+    over: bool = False
+    ending: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """For a client: how a job stands. Times are seconds ago, under 0 where that has not been."""
+
+    client: int
+    key: str
+    job: Job
+    work: bytes
+    stage: Stage
+    host: str
+    reason: str
+    ran: Ran | None
+    taken_ago: float
+    placed_ago: float
+    ended_ago: float
+    ending: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AllTold:
+    client: int
+    more: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """To an order, or to a question for a job that is not there (kind None)."""
+
+    client: int
+    key: str
+    kind: OrderKind | None
+    fault: Fault
+    reason: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -17,6 +17,8 @@
 from linedeal.engine.asking import Asking, again_after
 from linedeal.engine.fleet import Fleet, HostRecord
 from linedeal.engine.launches import Launch, State
+from linedeal.engine.ledger import Stage
+from linedeal.engine.sessions import Sessions
 from linedeal.engine.timers import Timers
 from linedeal.interface import Effect, Mode, Result
 from linedeal.policy import Controller
@@ -24,7 +26,7 @@
 
 STRAY_KEPT = 60.0       # seconds for which a launch that was given up is remembered, for a late yes
 STALL_SEEN = 0.25       # a timer this late tells that this process stood still, not that hosts were silent
-ANSWERS_MOST = 100_000  # answers kept for sessions that have not confirmed them
+NEVER_RAN = (Result.UNREACHABLE, Result.UNSENT, Result.TURNED_AWAY)
 BREATH = 0.05           # what came in meanwhile is read for so long before launches are given up
 
 
@@ -40,6 +42,10 @@
     key: str
     job: api.Job
     session: str = ""
+    work: bytes = b""
+    left: float = 0.0           # seconds to wait for a host, while it is held or its start time has not come
+    held_since: float = 0.0
+    risk: tuple[str, float] | None = None       # host and time of its first launch that may have run
 
     @property
     def owner(self):
@@ -60,7 +66,8 @@
         self.ready = False          # a list has been heard, so that jobs can be taken
         self.taken: dict[str, Taken] = {}
         self.keys: dict[tuple[int | str, str], str] = {}     # by owner and key
-        self.answers: dict[tuple[str, str], recovery.KeptAnswer] = {}
+        self.sessions = Sessions(self)
+        self.full = False           # the journal has room for what is taken only
         self.pending: dict[str, recovery.OpenJob] = {}      # of an earlier life, not settled yet
         self.accounts: dict[str, recovery.Account] = {}
         self.begun = now
@@ -148,7 +155,7 @@
 
     def submitted(self, event: on.Submitted) -> None:
         offering = self.cluster.settings.offerings.get(event.offering)
-        if event.session and self.joined(event):
+        if event.session and self.sessions.joined(event):
             return
         reason = self.turned_away(event, offering)
         if reason:
@@ -160,9 +167,15 @@
         wait = min(event.wait or offering.expiry, offering.expiry)
         job = api.Job(f"{self.name}.{self.life}.{self.jobs}", event.offering, event.customer, event.service,
                       event.cores, event.memory, self.now + wait)
-        self.own(Taken(event.client, event.key, job, event.session))
+        self.own(Taken(event.client, event.key, job, event.session, event.work, wait, self.now))
         self.counts["taken"] += 1
-        self.out.append(do.Take(event.client, event.key, job.id, event.session, job if event.session else None, wait))
+        self.out.append(do.Take(event.client, event.key, job.id, event.session, job if event.session else None, wait,
+                                event.work, event.follow, event.hold, event.start_in))
+        if event.session:
+            entry = self.sessions.took(event, job, wait)
+            self.sessions.tell(entry)
+            if entry.stage is not Stage.WAITING:
+                return
         self.tell(api.JobArrived(job))
 
     def own(self, taken: Taken) -> None:
@@ -171,35 +184,6 @@
         if taken.client:
             self.clients.setdefault(taken.client, set()).add(taken.key)
 
-    def joined(self, event: on.Submitted) -> bool:
-        """Whether the session has asked for this key before: the same job is joined, another is a fault."""
-        waits, kept = self.keys.get((event.session, event.key)), self.answers.get((event.session, event.key))
-        if waits is None and kept is None:
-            return False
-        job = self.taken[waits].job if waits else kept.job
-        if (job.offering, job.customer, job.service, job.cores, job.memory) != (
-                event.offering, event.customer, event.service, event.cores, event.memory):
-            self.counts["turned away"] += 1
-            self.out.append(do.TurnAway(event.client, event.key, "this key names another job", 0.0))
-            return True
-        self.out.append(do.Take(event.client, event.key, job.id))
-        if kept:
-            self.out.append(do.Answer(event.client, event.key, job.id, do.Verdict(kept.verdict), kept.host))
-        else:
-            taken = self.taken[waits]
-            self.clients.get(taken.client, set()).discard(event.key)
-            taken.client = event.client
-            self.own(taken)
-        return True
-
-    def answer_seen(self, event: on.AnswerSeen) -> None:
-        kept = self.answers.pop((event.session, event.key), None)
-        if kept is not None:
-            self.out.append(do.KeepNoMore(kept.job.id))
-
-    def forget_due(self, key: tuple[str, str]) -> None:
-        self.answer_seen(on.AnswerSeen(*key))
-
     def turned_away(self, event: on.Submitted, offering) -> str:
         """Why it is not taken, or nothing. Only here can a job be refused without an answer being owed."""
         if offering is None:
@@ -208,10 +192,20 @@
             return "cores and memory have to be over 0"
         if not 0 <= event.wait < float("inf"):
             return "wait is no number of seconds"
+        if not 0 <= event.start_in < float("inf"):
+            return "start time is no number of seconds"
+        if (event.hold or event.start_in or event.follow) and not event.session:
+            return "only a session's job can be held, begin later or be followed"
+        if len(event.work) > self.cluster.limits.work:
+            return f"its work is {len(event.work)} bytes, at most {self.cluster.limits.work} are taken"
+        if event.proven and event.customer != event.proven:
+            return f"this link submits for customer {event.proven!r} only"
         if (event.session or event.client, event.key) in self.keys:
             return "this key waits already"
         if not self.ready:
             return "no list of hosts yet"
+        if self.full and event.session:
+            return "the journal is full"
         if len(self.taken) >= self.cluster.limits.held:
             return "too many jobs are held"
         return ""
@@ -222,14 +216,15 @@
             return
         self.clients.get(self.taken[job_id].client, set()).discard(event.key)
         del self.taken[job_id]
-        self.pending.pop(job_id, None)
+        known = self.pending.pop(job_id, None) is None
         if event.session:
-            self.out.append(do.KeepNoMore(job_id))
+            self.sessions.forget(self.sessions.ledger.by_job[job_id])
         launch = self.by_job.get(job_id)
         if launch is not None:
             launch.wanted = False
             self.stop(launch)
-        self.tell(api.Withdrawn(job_id))
+        if known:
+            self.tell(api.Withdrawn(job_id))
 
     def client_left(self, event: on.ClientLeft) -> None:
         for key in sorted(self.clients.get(event.client, ())):
@@ -239,8 +234,9 @@
             if taken.client == event.client:
                 taken.client = 0        # its session owns it: it goes on, and the answer is kept
         self.clients.pop(event.client, None)
+        self.sessions.left(event.client)
 
-    def answer(self, job_id: str, verdict: do.Verdict, host: str = "") -> None:
+    def answer(self, job_id: str, verdict: do.Verdict, host: str = "", launch: on.LaunchId | None = None) -> None:
         """The one way in which a job is answered: it is owed nothing from then on."""
         taken = self.taken.pop(job_id, None)
         if taken is None:
@@ -248,15 +244,13 @@
         del self.keys[taken.owner, taken.key]
         self.clients.get(taken.client, set()).discard(taken.key)
         self.counts[verdict.value] += 1
-        self.out.append(do.Answer(taken.client, taken.key, job_id, verdict, host, bool(taken.session)))
-        if taken.session:
-            self.keep_answer(recovery.KeptAnswer(taken.session, taken.key, taken.job, verdict.value, host))
-
-    def keep_answer(self, kept: recovery.KeptAnswer) -> None:
-        self.answers[kept.session, kept.key] = kept
-        self.timers.arm(self.now + self.cluster.journal.answers_kept, "forget", (kept.session, kept.key))
-        if len(self.answers) > ANSWERS_MOST:
-            self.forget_due(next(iter(self.answers)))
+        entry = self.sessions.ledger.by_job.get(job_id)
+        if entry is not None:
+            self.sessions.answered(entry, verdict.value, host, launch, "")
+        self.out.append(do.Answer(taken.client, taken.key, job_id, verdict, host, entry is not None, launch,
+                                  entry.reason if entry else ""))
+        if entry is not None:
+            self.sessions.tell(entry)
 
     # -- launches
 
@@ -269,13 +263,13 @@
         self.numbers += 1
         launch = Launch(on.LaunchId(self.life, self.numbers), taken.job,
                         self.cluster.settings.offerings[taken.job.offering].effect, host, self.now + wait,
-                        kept=bool(taken.session))
+                        kept=bool(taken.session), sent=self.now)
         self.launches[launch.id] = self.by_job[job_id] = launch
         record.launches[launch.id] = launch
         self.counts["launches"] += 1
         self.timers.arm(launch.due, "launch", launch.id)
         self.out.append(do.SendLaunch(host, launch.id.number, taken.job, launch.due, record.listed.boot,
-                                      launch.kept))
+                                      launch.kept, taken.work))
 
     def stop(self, launch: Launch) -> None:
         self.out.append(do.SendStop(launch.host, launch.id))
@@ -315,14 +309,18 @@
 
     def ended(self, launch: Launch, result: Result, why: api.Why) -> None:
         """Tells the module how the launch that it has out has ended."""
-        closed = launch.job.id not in self.taken
+        taken = self.taken.get(launch.job.id)
+        closed = taken is None
+        if taken is not None and result not in NEVER_RAN:
+            taken.risk = taken.risk or (launch.host, launch.sent)
         self.tell(api.Ended(launch.job.id, launch.id.number, launch.host, result, why, closed))
 
     def over(self, launch: Launch, result: Result, why: api.Why) -> None:
         stray = launch.state is State.STRAY
         self.forget(launch)
-        if launch.kept and result in (Result.UNREACHABLE, Result.UNSENT, Result.TURNED_AWAY):
+        if launch.kept and result in NEVER_RAN:
             self.out.append(do.KeepVoid(launch.id))
+        self.sessions.ended(launch.job.id, launch.id, result, why, launch.ran)
         if not stray:
             if result is Result.UNREACHABLE and launch.left:
                 self.counts["proven not run"] += 1
@@ -337,7 +335,7 @@
         launch.state = State.HELD
         self.tell(api.Confirmed(launch.job.id, launch.id.number, launch.host))
         if launch.job.id in self.taken:
-            self.answer(launch.job.id, do.Verdict.PLACED, launch.host)
+            self.answer(launch.job.id, do.Verdict.PLACED, launch.host, launch.id)
         elif not launch.wanted:
             self.stop(launch)   # taken back while the yes was on its way
 
@@ -376,6 +374,7 @@
         if launch.state is State.HELD and not launch.started:
             launch.started = True
             self.tell(api.Noted(launch.job.id, event.host, "started", 1.0))
+            self.sessions.started(launch.job.id, launch.id)
 
     def refused(self, event: on.Refused) -> None:
         launch = self.find(event.host, event.launch)
@@ -387,6 +386,7 @@
         self.out.append(do.SendEndSeen(event.host, event.launch))
         launch = self.find(event.host, event.launch)
         if launch is not None:
+            launch.ran = event.ran
             self.over(launch, event.result, event.why)
 
     def used(self, event: on.Used) -> None:
@@ -446,10 +446,14 @@
             finding = launches.found(launch, item, event.boot, event.forgot)
             if item is not None:
                 launch.left, launch.boot = event.link, event.boot
+            launch.ran = item.ran if item is not None else None
             self.learn(launch, finding)
+            if not launch.wanted and launch.state is State.HELD and launch.id in self.launches:
+                self.stop(launch)       # the order may have been lost with the link before
         for item in held.values():
             self.found(record, item)
         self.settle_pending()
+        self.sessions.accounted(event.host)
 
     def learn(self, launch: Launch, finding: launches.Finding | None) -> None:
         if finding is None or finding.phase is on.Phase.QUEUED:
@@ -468,6 +472,7 @@
         host, offering = record.listed.id, self.cluster.settings.offerings.get(item.job.offering)
         if item.phase is on.Phase.OVER:
             self.out.append(do.SendEndSeen(host, item.launch))
+            self.sessions.ended(item.job.id, item.launch, item.result, item.why, item.ran)
         elif offering is None or item.launch.life == self.life and offering.effect is not Effect.IRREVERSIBLE:
             self.out.append(do.SendStop(host, item.launch))
         elif item.job.id in self.taken and item.job.id not in self.pending:
@@ -477,6 +482,12 @@
                             record.boot, started=item.phase is on.Phase.RUNNING)
             self.launches[launch.id] = self.by_job[item.job.id] = record.launches[launch.id] = launch
             self.tell(api.JobFound(item.job, host))
+            entry = self.sessions.ledger.by_job.get(item.job.id)
+            if entry is not None and entry.ending:
+                launch.wanted = False
+                self.stop(launch)       # its owner ended it in an earlier life
+            if launch.started:
+                self.sessions.started(launch.job.id, launch.id)
 
     def link_down(self, event: on.LinkDown) -> None:
         # those that left on it are lost with it: told now, they count as one silence with the break, not as a second
@@ -526,9 +537,9 @@
         if event.whole:
             self.fleet.missing({listed.id for listed in event.hosts})
         self.tell(api.HostsListed(entries, event.whole, event.remembered))
-        self.lose_gone()
         if event.remembered or event.whole:
             self.ready = True
+        self.lose_gone()
         self.settle_pending()
         if event.whole or event.remembered:
             self.asking.add([h.id for h in event.hosts if h.mode is not Mode.GONE
@@ -536,6 +547,9 @@
 
     def lose_gone(self) -> None:
         """A host that is gone for good answers nothing more: what was held there is lost, and is told so."""
+        for host in [host for host in self.sessions.unaccounted if self.ready and (
+                host not in self.fleet.hosts or self.fleet.hosts[host].listed.mode is Mode.GONE)]:
+            self.sessions.accounted(host)
         for record in list(self.fleet.hosts.values()):
             if record.listed.mode is Mode.GONE and not record.link:
                 for launch in list(record.launches.values()):
@@ -550,10 +564,13 @@
     def recover(self, left_open: tuple[recovery.OpenJob, ...], answers: tuple[recovery.KeptAnswer, ...]) -> None:
         """Before the first turn: jobs that this controller still owes an answer, and answers not confirmed."""
         for kept in answers:
-            self.keep_answer(kept)
+            self.sessions.recover_answered(kept)
         for job in left_open:
             record = replace(job.job, expiry=self.now + job.expires_in)
-            self.own(Taken(0, job.key, record, job.session))
+            self.own(Taken(0, job.key, record, job.session, job.work, job.expires_in, self.now))
+            entry = self.sessions.recover_open(job, record)
+            if entry.stage is not Stage.WAITING:
+                continue        # never launched, or every launch known not to have run: it could not be held else
             self.pending[record.id] = job
             self.timers.arm(max(self.now, record.expiry - recovery.SETTLE_BEFORE), "settle", record.id)
         if left_open:
@@ -577,14 +594,23 @@
         lost = {launch.host for launch in job.launches if self.ready and launch.host not in self.fleet.hosts}
         step = recovery.next_step(
             job, offering.effect if offering else Effect.IRREVERSIBLE, self.accounts, lost,
-            self.now >= self.begun + recovery.PATIENCE, self.now >= taken.job.expiry - recovery.SETTLE_BEFORE)
+            self.now >= self.begun + recovery.PATIENCE, self.now >= taken.job.expiry - recovery.SETTLE_BEFORE,
+            frozenset(launch.host for launch in job.launches if launch.host in self.fleet.hosts))
         if step is recovery.Step.WAIT or step is recovery.Step.AGAIN and (not self.ready or not offering):
             return
         del self.pending[job_id]
         if step is recovery.Step.AGAIN:
-            self.tell(api.JobArrived(taken.job))
-        else:
-            self.answer(job_id, VERDICTS[step], recovery.placed_at(job, self.accounts))
+            first = recovery.risk(job, self.accounts)
+            if first is not None and offering.effect is not Effect.REDOABLE:
+                taken.risk = first.host, self.begun - first.sent_ago
+            self.tell(api.JobArrived(taken.job, taken.risk))
+            return
+        host, held = recovery.placed_at(job, self.accounts) or ("", None)
+        self.answer(job_id, VERDICTS[step], host, held.launch if held else None)
+        if held is not None and held.phase is on.Phase.OVER:
+            self.sessions.ended(job_id, held.launch, held.result, held.why, held.ran)
+        elif held is not None and held.phase is on.Phase.RUNNING:
+            self.sessions.started(job_id, held.launch)
 
     # -- timers
 
@@ -599,7 +625,10 @@
             recovery.Step.WRITE_OFF: do.Verdict.WRITTEN_OFF}
 HANDLERS = {
     on.Submitted: Engine.submitted, on.TakenBack: Engine.taken_back, on.ClientLeft: Engine.client_left,
-    on.AnswerSeen: Engine.answer_seen,
+    on.AnswerSeen: lambda engine, event: engine.sessions.answer_seen(event),
+    on.Ordered: lambda engine, event: engine.sessions.ordered(event),
+    on.StandingAsked: lambda engine, event: engine.sessions.asked(event),
+    on.Forgotten: lambda engine, event: engine.sessions.forgotten(event),
     on.ListHeard: Engine.list_heard, on.ListFailed: Engine.list_failed,
     on.Left: Engine.left, on.Unsent: Engine.unsent, on.LinkUp: Engine.link_up, on.LinkDown: Engine.link_down, on.Fenced: Engine.fenced,
     on.Accepted: Engine.accepted, on.Refused: Engine.refused, on.Started: Engine.started, on.Used: Engine.used,
@@ -608,5 +637,8 @@
 RINGERS = {
     "module": Engine.module_due, "launch": Engine.launch_due, "stray": Engine.stray_due, "probe": Engine.probe_due,
     "launch at last": Engine.launch_due, "probe at last": Engine.probe_due, "asking": Engine.asking_due,
-    "relink": Engine.relink_due, "settle": Engine.settle_due, "forget": Engine.forget_due,
+    "relink": Engine.relink_due, "settle": Engine.settle_due,
+    "forget": lambda engine, key: engine.sessions.forget_due(key),
+    "later": lambda engine, job: engine.sessions.later_due(job),
+    "held too long": lambda engine, job: engine.sessions.held_too_long(job),
 }
--- a/linedeal/engine/events.py
+++ b/linedeal/engine/events.py
@@ -38,6 +38,16 @@
     free_memory: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class Ran:
+    """How a run ended, by its host: exit status (None: it did not exit by itself), seconds, memory at most."""
+
+    status: int | None
+    seconds: float
+    core_seconds: float
+    memory: float
+
+
 @dataclass(frozen=True, slots=True)
 class Held:
     """What a host says of a launch when a link is made."""
@@ -47,6 +57,7 @@
     phase: Phase
     result: Result = Result.DONE
     why: Why = Why.UNTOLD
+    ran: Ran | None = None
 
 
 # from discovery
@@ -77,6 +88,11 @@
     memory: float
     wait: float                 # seconds; 0: as long as the offering allows
     session: str = ""           # where not empty, the job belongs to it and not to the link
+    proven: str = ""            # the customer whose key this link has shown
+    work: bytes = b""           # for the host, carried as it is
+    follow: bool = False        # its owner wants to hear of its course after the answer
+    hold: bool = False
+    start_in: float = 0.0       # seconds for which it is not looked at
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +110,34 @@
     key: str
 
 
+@dataclass(frozen=True, slots=True)
+class Ordered:
+    """An owner holds, releases or ends a job."""
+
+    client: int
+    session: str
+    key: str
+    kind: object                # a control.OrderKind
+
+
+@dataclass(frozen=True, slots=True)
+class StandingAsked:
+    """How one job stands, or, with no key, all of the session's after key `after`."""
+
+    client: int
+    session: str
+    key: str
+    after: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Forgotten:
+    """The owner wants to hear of this job no more; one that is owed an answer or runs is kept."""
+
+    session: str
+    key: str
+
+
 @dataclass(frozen=True, slots=True)
 class ClientLeft:
     client: int
@@ -190,6 +234,7 @@
     launch: LaunchId
     result: Result
     why: Why
+    ran: Ran | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/linedeal/engine/launches.py
+++ b/linedeal/engine/launches.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from linedeal.engine.events import Held, LaunchId, Phase
+from linedeal.engine.events import Held, LaunchId, Phase, Ran
 from linedeal.interface import Effect, Job, Result, Why
 
 
@@ -30,6 +30,8 @@
     started: bool = False
     kept: bool = False          # it is in the journal
     unsend: bool = False        # the link was asked to keep it back
+    sent: float = 0.0           # when it was decided on
+    ran: Ran | None = None      # what its host said at its end
 
 
 @dataclass(frozen=True, slots=True)
--- a/linedeal/engine/recovery.py
+++ b/linedeal/engine/recovery.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from linedeal.engine.events import Held, LaunchId, Phase
+from linedeal.engine.events import Held, LaunchId, Phase, Ran
 from linedeal.interface import Effect, Job
 
 PATIENCE = 1.5          # seconds after a start for which a redoable job waits for its host's account
@@ -28,6 +28,7 @@
     host: str
     boot: int
     void: bool = False          # the journal knows that it did not run
+    sent_ago: float = float("inf")      # seconds; infinity where clocks jumped and it is not known
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,19 +38,33 @@
     session: str
     key: str
     job: Job
-    expires_in: float           # seconds from the start of this life; 0 where that has passed
+    expires_in: float           # seconds from the start of this life, or from its release; 0 where that has passed
     launches: tuple[OldLaunch, ...] = ()
+    work: bytes = b""
+    follow: bool = False
+    held: bool = False
+    start_in: float = 0.0       # seconds
+    taken_ago: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class KeptAnswer:
-    """An answer that its session has not confirmed."""
+    """A job that is answered and not forgotten. Times are seconds before this life."""
 
     session: str
     key: str
     job: Job
-    verdict: str
-    host: str
+    stage: str                  # name of a ledger.Stage
+    host: str = ""
+    launch: LaunchId | None = None
+    reason: str = ""
+    work: bytes = b""
+    follow: bool = False
+    ending: bool = False
+    ran: Ran | None = None
+    taken_ago: float = 0.0
+    placed_ago: float | None = None
+    ended_ago: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,22 +86,27 @@
     return not (account.boot == launch.boot and not account.forgot and launch.id not in account.held)
 
 
-def placed_at(job: OpenJob, accounts: dict[str, Account]) -> str:
-    """The host that has the job, or has had it to its end; empty where none says so."""
+def placed_at(job: OpenJob, accounts: dict[str, Account]) -> tuple[str, Held] | None:
+    """The host that has the job, or has had it to its end, and what it says of it; None where no host says so."""
     for launch in job.launches:
         held = accounts[launch.host].held.get(launch.id) if launch.host in accounts else None
         if held is not None and held.phase is not Phase.QUEUED:
-            return launch.host
-    return ""
+            return launch.host, held
+    return None
+
+
+def risk(job: OpenJob, accounts: dict[str, Account]) -> OldLaunch | None:
+    """The first of its launches that may have run."""
+    return next((launch for launch in job.launches if ran(launch, accounts) is not False), None)
 
 
 def next_step(job: OpenJob, effect: Effect, accounts: dict[str, Account], lost: set[str], patience_over: bool,
-              time_up: bool) -> Step:
+              time_up: bool, listed: frozenset[str] = frozenset()) -> Step:
     """What to do with the job now. `lost`: hosts that are gone for good, whose account will never come;
-    `patience_over`: what may run again waits for accounts no longer.
+    `listed`: hosts that the module knows; `patience_over`: what may run again waits for accounts no longer.
 
-    A labelled job whose launch may have run is not launched again: the module would have to be told of a launch that
-    it did not make. It is written off at its time unless proof comes.
+    A labelled job whose launch may have run goes back to the module with that launch's host and time, which keep it
+    in the group and the window. Where the host is not listed its group is not known: only the answer is left.
     """
     if placed_at(job, accounts):
         return Step.PLACED
@@ -94,6 +114,10 @@
     harmless = effect is Effect.REDOABLE or not any(fate is not False for fate in fates)
     if time_up:
         return Step.REJECT if harmless else Step.WRITE_OFF
-    if None in fates and not (effect is Effect.REDOABLE and patience_over):
+    if None in fates and not (effect is not Effect.IRREVERSIBLE and patience_over):
         return Step.WAIT
+    if effect is Effect.LABELLED and not harmless:
+        first = risk(job, accounts)
+        # a launch whose time is not known, by a clock that was set back, has no window left
+        return Step.AGAIN if first.host in listed and first.sent_ago < float("inf") else Step.WAIT
     return Step.AGAIN if harmless else Step.WAIT
--- /dev/null
+++ b/linedeal/engine/sessions.py
@@ -0,0 +1,272 @@
+"""The jobs that sessions own: joined by key, held, released, ended, told of, forgotten.
+
+A part of the engine, which it acts through: `control.rule` says what an order does, the ledger how each job stands.
+"""
+
+from linedeal import interface as api
+from linedeal.engine import control, recovery
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
+from linedeal.engine.control import Fault, Move
+from linedeal.engine.ledger import AT_HOST, Entry, Ledger, Stage
+
+PAGE = 200          # jobs told in one go; the client asks for the next
+KEPT_MOST = 100_000     # jobs kept after their end for owners that do not come; then the oldest go
+
+
+class Sessions:
+    def __init__(self, engine):
+        self.engine = engine
+        self.ledger = Ledger()
+        self.followers: dict[str, dict[int, None]] = {}         # links that are told of each change, by session
+        self.unaccounted: dict[str, list[Entry]] = {}           # placed by an earlier life, by host
+        self.over: dict[tuple[str, str], None] = {}             # kept after their end, oldest first
+
+    # -- taking
+
+    def joined(self, event: on.Submitted) -> bool:
+        """Whether the session has asked for this key before: the same job is joined, another is a fault."""
+        engine, entry = self.engine, self.ledger.entries.get((event.session, event.key))
+        if entry is None:
+            return False
+        job = entry.job
+        if (job.offering, job.customer, job.service, job.cores, job.memory, entry.work) != (
+                event.offering, event.customer, event.service, event.cores, event.memory, event.work):
+            engine.counts["turned away"] += 1
+            engine.out.append(do.TurnAway(event.client, event.key, "this key names another job", 0.0))
+            return True
+        engine.out.append(do.Take(event.client, event.key, job.id))
+        if entry.follow:
+            self.follow(event.session, event.client)
+            self.tell_one(event.client, entry)
+        if entry.verdict:
+            engine.out.append(do.Answer(event.client, event.key, job.id, do.Verdict(entry.verdict), entry.host))
+        else:
+            taken = engine.taken[job.id]
+            engine.clients.get(taken.client, set()).discard(event.key)
+            taken.client = event.client
+            engine.own(taken)
+        return True
+
+    def took(self, event: on.Submitted, job: api.Job, wait: float) -> Entry:
+        stage = Stage.HELD if event.hold else Stage.LATER if event.start_in else Stage.WAITING
+        entry = Entry(event.session, event.key, job, event.work, event.follow, stage, self.engine.now)
+        self.ledger.add(entry)
+        if event.follow:
+            self.follow(event.session, event.client)
+        if stage is not Stage.WAITING:
+            self.set_aside(entry, wait, event.start_in)
+        return entry
+
+    def set_aside(self, entry: Entry, left: float, start_in: float = 0.0) -> None:
+        """Its time stops at `left` seconds; it goes on when released, or when its start time comes."""
+        engine = self.engine
+        engine.taken[entry.job.id].left = left
+        entry.job.expiry = float("inf")
+        if entry.stage is Stage.LATER:
+            engine.timers.arm(engine.now + start_in, "later", entry.job.id)
+        else:
+            engine.timers.arm(engine.now + engine.cluster.limits.hold, "held too long", entry.job.id)
+
+    def go_on(self, entry: Entry) -> None:
+        """Back to the module, with the time that was left."""
+        engine, taken = self.engine, self.engine.taken[entry.job.id]
+        entry.stage, entry.job.expiry = Stage.WAITING, engine.now + taken.left
+        engine.out.append(do.KeepHold(entry.job.id, False, taken.left, 0.0))
+        self.tell(entry)
+        engine.tell(api.JobArrived(entry.job, taken.risk))
+
+    def later_due(self, job_id: str) -> None:
+        entry = self.ledger.by_job.get(job_id)
+        if entry is not None and entry.stage is Stage.LATER:
+            self.go_on(entry)
+
+    def held_too_long(self, job_id: str) -> None:
+        # guards against jobs that are held for ever: they count against what this controller may hold
+        engine, entry = self.engine, self.ledger.by_job.get(job_id)
+        if entry is not None and entry.stage is Stage.HELD:
+            if engine.now < engine.taken[job_id].held_since + engine.cluster.limits.hold:
+                return      # released and held again meanwhile: the newer hold has its own timer
+            entry.reason = f"held for {engine.cluster.limits.hold:g} s"
+            engine.answer(job_id, do.Verdict.REJECTED)
+
+    # -- orders
+
+    def ordered(self, event: on.Ordered) -> None:
+        engine, entry = self.engine, self.ledger.entries.get((event.session, event.key))
+        if entry is None:
+            engine.out.append(do.Reply(event.client, event.key, event.kind, Fault.NO_SUCH_JOB))
+            return
+        taken, launch = engine.taken.get(entry.job.id), engine.by_job.get(entry.job.id)
+        offering = engine.cluster.settings.offerings.get(entry.job.offering)
+        earlier = engine.pending.get(entry.job.id)
+        may_have_run = bool(taken and taken.risk) or bool(earlier and any(not old.void for old in earlier.launches))
+        ruling = control.rule(event.kind, entry, launch is not None, may_have_run,
+                              offering.effect if offering else api.Effect.IRREVERSIBLE)
+        if ruling.move is Move.REFUSE:
+            engine.out.append(do.Reply(event.client, event.key, event.kind, Fault.WRONG_STATE, ruling.reason))
+            return
+        engine.out.append(do.Reply(event.client, event.key, event.kind, Fault.NONE))
+        if ruling.move is Move.HOLD:
+            self.hold(entry)
+        elif ruling.move is Move.RELEASE:
+            self.go_on(entry)
+        elif ruling.move is Move.STOP:
+            self.end_at_host(entry)
+        elif ruling.move in (Move.REJECT, Move.WRITE_OFF):
+            self.end_before(entry, launch, ruling.move)
+
+    def hold(self, entry: Entry) -> None:
+        engine, taken = self.engine, self.engine.taken[entry.job.id]
+        if entry.stage is not Stage.LATER:
+            taken.left = max(0.0, entry.job.expiry - engine.now)
+            if entry.job.id not in engine.pending:
+                engine.tell(api.Withdrawn(entry.job.id))
+            engine.pending.pop(entry.job.id, None)
+        entry.stage, taken.held_since = Stage.HELD, engine.now
+        self.set_aside(entry, taken.left)
+        engine.out.append(do.KeepHold(entry.job.id, True, taken.left, 0.0))
+        self.tell(entry)
+
+    def end_at_host(self, entry: Entry) -> None:
+        """The host says when it has ended; until then the order stands, over broken links and restarts."""
+        engine, launch = self.engine, self.engine.by_job.get(entry.job.id)
+        entry.ending = True
+        engine.out.append(do.KeepCourse(entry.job.id, entry.stage.name, entry.reason, None, ending=True))
+        if launch is not None:
+            launch.wanted = False
+            engine.stop(launch)
+        self.tell(entry)
+
+    def end_before(self, entry: Entry, launch, move: Move) -> None:
+        engine, job_id, waits = self.engine, entry.job.id, entry.stage is Stage.WAITING
+        entry.reason = "ended by its owner"
+        if launch is not None:
+            launch.wanted = False
+            engine.stop(launch)
+        known = waits and engine.pending.pop(job_id, None) is None
+        engine.answer(job_id, do.Verdict.REJECTED if move is Move.REJECT else do.Verdict.WRITTEN_OFF)
+        if known:
+            engine.tell(api.Withdrawn(job_id))
+
+    # -- its course
+
+    def answered(self, entry: Entry, verdict: str, host: str, launch: on.LaunchId | None, reason: str) -> None:
+        self.ledger.answered(entry, self.engine.now, verdict, host, launch, reason)
+        if not entry.follow or entry.over:
+            self.keep_for_a_while(entry)
+
+    def started(self, job_id: str, launch_id: on.LaunchId) -> None:
+        entry = self.ledger.started(job_id, launch_id)
+        if entry is not None:
+            self.keep_course(entry)
+
+    def ended(self, job_id: str, launch_id: on.LaunchId, result: api.Result, why: api.Why, ran) -> None:
+        entry = self.ledger.ended(job_id, launch_id, self.engine.now, result, why, ran)
+        if entry is not None:
+            self.keep_course(entry)
+            self.keep_for_a_while(entry)
+
+    def keep_course(self, entry: Entry) -> None:
+        if entry.follow:
+            self.engine.out.append(do.KeepCourse(entry.job.id, entry.stage.name, entry.reason, entry.ran,
+                                                 over=entry.over, ending=entry.ending))
+            self.tell(entry)
+
+    def accounted(self, host: str) -> None:
+        """The host has said what it holds: what an earlier life placed there and it does not name has been lost."""
+        for entry in self.unaccounted.pop(host, ()):
+            if entry.stage in AT_HOST and entry.job.id not in self.engine.by_job:
+                self.ended(entry.job.id, entry.launch, api.Result.CUT, api.Why.UNTOLD, None)
+
+    # -- telling
+
+    def follow(self, session: str, client: int) -> None:
+        if client:
+            self.followers.setdefault(session, {})[client] = None
+
+    def left(self, client: int) -> None:
+        for session in [session for session, clients in self.followers.items() if client in clients]:
+            del self.followers[session][client]
+            if not self.followers[session]:
+                del self.followers[session]
+
+    def tell(self, entry: Entry) -> None:
+        if entry.follow:
+            for client in self.followers.get(entry.session, ()):
+                self.tell_one(client, entry)
+
+    def tell_one(self, client: int, entry: Entry) -> None:
+        def ago(then):
+            return -1.0 if then is None else max(0.0, self.engine.now - then)
+        self.engine.out.append(do.Standing(
+            client, entry.key, entry.job, entry.work, entry.stage, entry.host, entry.reason, entry.ran,
+            ago(entry.taken_at), ago(entry.placed_at), ago(entry.ended_at), entry.ending))
+
+    def asked(self, event: on.StandingAsked) -> None:
+        if event.key:
+            entry = self.ledger.entries.get((event.session, event.key))
+            if entry is None:
+                self.engine.out.append(do.Reply(event.client, event.key, None, Fault.NO_SUCH_JOB))
+            else:
+                self.tell_one(event.client, entry)
+            return
+        self.follow(event.session, event.client)
+        page, more = self.ledger.page(event.session, event.after, PAGE)
+        for entry in page:
+            self.tell_one(event.client, entry)
+        self.engine.out.append(do.AllTold(event.client, more))
+
+    # -- forgetting
+
+    def answer_seen(self, event: on.AnswerSeen) -> None:
+        entry = self.ledger.entries.get((event.session, event.key))
+        if entry is not None and entry.verdict and not entry.follow:
+            self.forget(entry)
+
+    def forgotten(self, event: on.Forgotten) -> None:
+        entry = self.ledger.entries.get((event.session, event.key))
+        if entry is not None and (entry.over or entry.verdict and not entry.follow):
+            self.forget(entry)
+
+    def forget_due(self, key: tuple[str, str]) -> None:
+        entry = self.ledger.entries.get(key)
+        if entry is None or key not in self.over:
+            return
+        since = entry.ended_at if entry.follow else entry.ended_at or entry.placed_at
+        if self.engine.now >= since + self.engine.cluster.journal.answers_kept - 1e-6:
+            self.forget(entry)      # else the key names a newer job, which has a timer of its own
+
+    def forget(self, entry: Entry) -> None:
+        self.ledger.drop(entry)
+        self.over.pop((entry.session, entry.key), None)
+        self.engine.out.append(do.KeepNoMore(entry.job.id))
+
+    def keep_for_a_while(self, entry: Entry, passed: float = 0.0) -> None:
+        engine, key = self.engine, (entry.session, entry.key)
+        self.over[key] = None
+        engine.timers.arm(engine.now + max(0.0, engine.cluster.journal.answers_kept - passed), "forget", key)
+        if len(self.over) > KEPT_MOST:
+            self.forget(self.ledger.entries[next(iter(self.over))])
+
+    # -- what an earlier life left
+
+    def recover_open(self, job: recovery.OpenJob, record: api.Job) -> Entry:
+        stage = Stage.HELD if job.held else Stage.LATER if job.start_in else Stage.WAITING
+        entry = Entry(job.session, job.key, record, job.work, job.follow, stage, self.engine.now - job.taken_ago)
+        self.ledger.add(entry)
+        if stage is not Stage.WAITING:
+            self.set_aside(entry, job.expires_in, job.start_in)
+        return entry
+
+    def recover_answered(self, kept: recovery.KeptAnswer) -> None:
+        now = self.engine.now
+        entry = Entry(kept.session, kept.key, kept.job, kept.work, kept.follow, Stage[kept.stage], now - kept.taken_ago,
+                      now - kept.placed_ago if kept.placed_ago is not None else None,
+                      now - kept.ended_ago if kept.ended_ago is not None else None,
+                      kept.host, kept.launch, kept.reason, kept.ran, kept.ending)
+        self.ledger.add(entry)
+        if entry.stage in AT_HOST and entry.follow:
+            self.unaccounted.setdefault(entry.host, []).append(entry)
+        else:
+            self.keep_for_a_while(entry, kept.ended_ago if kept.ended_ago is not None else kept.placed_ago or 0.0)
--- a/linedeal/interface.py
+++ b/linedeal/interface.py
@@ -135,7 +135,10 @@
 
 @dataclass(frozen=True, slots=True)
 class JobArrived:
+    """`risk`: the host and time of an earlier launch, unknown to the module, that may have run."""
+
     job: Job
+    risk: tuple[str, float] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -164,8 +164,8 @@
     def handle(self, now, event):
         self.now, self.out = now, []
         match event:
-            case api.JobArrived(job):
-                self.arrived(job)
+            case api.JobArrived(job, risk):
+                self.arrived(job, risk)
             case api.Noted(job, _, what, value):
                 self.noted(job, what, value)
             case api.Confirmed(job):
@@ -221,12 +221,15 @@
         track.life = self.life(track)
         return track
 
-    def arrived(self, job):
+    def arrived(self, job, risk):
         if self.s.may_probe and self.hosts:     # one a job, however many hosts and controllers there are
             host = min(self.hosts.values(), key=lambda host: (host.entry.mode is Mode.GONE, host.probed))
             host.probed = self.now
             self.out.append(api.Probe(host.entry.id))
-        self.step(self.track(job), None)
+        track = self.track(job)
+        if risk:
+            track.risk = self.hosts[risk[0]], risk[1]
+        self.step(track, None)
 
     def found(self, job, host_id):
         host = self.hosts.get(host_id)
--- a/linedeal/settings/cluster.py
+++ b/linedeal/settings/cluster.py
@@ -10,6 +10,7 @@
 
 from linedeal import interface as api
 from linedeal.settings import build
+from linedeal.settings.keys import FORM, Keys
 
 EFFECTS = {"redoable": api.Effect.REDOABLE, "labelled": api.Effect.LABELLED, "irreversible": api.Effect.IRREVERSIBLE}
 PLACES = {"none": api.Place.NONE, "host": api.Place.HOST, "cell": api.Place.CELL, "zone": api.Place.ZONE,
@@ -41,6 +42,8 @@
     link_silent: float = 4.0    # seconds after which a link whose host answers nothing counts as broken
     watch: float = 2.0          # seconds for discovery to answer a watch
     probe: float = 1.0          # seconds for a probe's answer
+    work: int = 65536           # bytes of what a host is to run for a job
+    hold: float = 604800.0      # seconds for which an owner may hold a job
     leave: float = 10.0         # seconds that a controller told to end waits for the jobs it holds
     welcome_pace: float = 20.0  # hosts a second asked, after a start, what they hold
 
@@ -55,6 +58,8 @@
 class JournalSettings:
     power: bool = False         # each commit outlives a loss of power, not only the death of the process
     answers_kept: float = 600.0     # seconds for which an answer is kept for a session that has not confirmed it
+    most: int = 1 << 30         # bytes; past nine tenths of it sessions' jobs are turned away
+    spare: int = 1 << 22        # bytes set aside on the disk, given up when it is full
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +68,7 @@
     limits: Limits
     rules: Rules
     journal: JournalSettings
+    keys: Keys = Keys()
 
 
 BLOCKS = {
@@ -74,14 +80,16 @@
     "young": {"time": (float, 10.0), "offers": (float, 20.0), "span": (float, 3.0)},
     "rules": {name: (float, getattr(Rules(), name)) for name in Rules.__dataclass_fields__},
     "limits": {name: (type(getattr(Limits(), name)), getattr(Limits(), name)) for name in Limits.__dataclass_fields__},
-    "journal": {"power": (bool, False), "answers_kept": (float, JournalSettings().answers_kept)},
+    "journal": {name: (type(getattr(JournalSettings(), name)), getattr(JournalSettings(), name))
+                for name in JournalSettings.__dataclass_fields__},
     "kind": {"cores": (float, NEEDED), "memory": (float, NEEDED)},
     "offering": {
         "expiry": (float, NEEDED), "value": (float, 1.0), "effect": (tuple(EFFECTS), NEEDED),
         "group": (tuple(PLACES), "none"), "window": (float, 0.0), "kind": (str, None), "calm": (float, 1.0),
         "fade": (float, 1.0), "spread": (tuple(PLACES), "none"), "most": (int, 0),
     },
-    "customer": {"cores": (float, NEEDED)},
+    "customer": {"cores": (float, None), "key": (str, None)},
+    "clients": {"keys_needed": (bool, False)},
 }
 NAMED = ("kind", "offering", "customer")
 
@@ -121,7 +129,7 @@
                 fault(where, "stands twice")
             else:
                 blocks[key][label] = values(BLOCKS[key], body, where, fault)
-    for key in ("cluster", "young", "rules", "limits", "journal"):
+    for key in ("cluster", "young", "rules", "limits", "journal", "clients"):
         if not blocks[key]:
             blocks[key][""] = values(BLOCKS[key], {}, key, fault)
     if lines:
@@ -129,6 +137,15 @@
     settings = to_settings(blocks)
     limits, rules = Limits(**blocks["limits"][""]), Rules(**blocks["rules"][""])
     journal = JournalSettings(**blocks["journal"][""])
+    keys = Keys({name: item["key"] for name, item in blocks["customer"].items() if item["key"] is not None},
+                blocks["clients"][""]["keys_needed"])
+    for name, item in blocks["customer"].items():
+        if item["key"] is None and item["cores"] is None:
+            fault(f"customer {name}", "cores or key is missing")
+        if item["key"] is not None and not FORM.fullmatch(item["key"]):
+            fault(f"customer {name}", "key is no hash; `linedeal key` makes one")
+    if keys.needed and not keys.hashes:
+        fault("clients", "keys_needed, and no customer has a key")
     for where, said in build.faults(settings) + build.doubts(settings):
         block, _, key = where.rpartition(".")
         fault(block or "cluster", f"{key} {said}")
@@ -136,11 +153,12 @@
         for key in record.__dataclass_fields__:
             if getattr(record, key) <= 0:
                 fault(block, f"{key} is {getattr(record, key):g}, over 0 is needed")
-    if journal.answers_kept <= 0:
-        fault("journal", f"answers_kept is {journal.answers_kept:g}, over 0 is needed")
+    for key, least in (("answers_kept", 0), ("most", 1 << 20), ("spare", 0)):
+        if getattr(journal, key) <= least:
+            fault("journal", f"{key} is {getattr(journal, key):g}, over {least} is needed")
     if lines:
         raise ConfigFault(lines)
-    return Cluster(settings, limits, rules, journal)
+    return Cluster(settings, limits, rules, journal, keys)
 
 
 def tree(text, name):
@@ -190,7 +208,7 @@
             item["kind"], item["calm"], item["fade"], PLACES[item["spread"]], item["most"])
             for name, item in blocks["offering"].items()},
         kinds={name: api.Kind(item["cores"], item["memory"]) for name, item in blocks["kind"].items()},
-        quotas={name: item["cores"] for name, item in blocks["customer"].items()},
+        quotas={name: item["cores"] for name, item in blocks["customer"].items() if item["cores"] is not None},
         accepts_cores=cluster["accepts_cores"], accepts_memory=cluster["accepts_memory"],
         starts_confirmed=cluster["confirms"] == "running", host_price=cluster["host_price"],
         must_ask=cluster["must_ask"], ask_within=cluster["ask_within"], may_probe=cluster["may_probe"],
--- a/linedeal/standin/model.py
+++ b/linedeal/standin/model.py
@@ -42,6 +42,11 @@
     memory: float = 0.0
     outcome: int = pb.OUTCOME_UNKNOWN
     reason: int = pb.REASON_UNTOLD
+    began: float = 0.0          # 0: it has not
+    used_at: float = 0.0
+    core_seconds: float = 0.0
+    memory_most: float = 0.0
+    ran: pb.Ran | None = None
 
     def launch(self):
         return pb.LaunchId(controller=self.id[0], life=self.id[1], number=self.id[2])
@@ -90,7 +95,8 @@
         for copy in [c for c in self.queue if c.id[0] == controller and c.id[1] < life]:
             self.queue.remove(copy)
             del self.copies[copy.id]
-        held = [pb.Held(launch=c.launch(), job=c.job, phase=c.phase, outcome=c.outcome, reason=c.reason)
+        held = [pb.Held(launch=c.launch(), job=c.job, phase=c.phase, outcome=c.outcome, reason=c.reason,
+                        ran=c.ran)
                 for table in (self.copies, self.over) for c in table.values() if c.id[0] == controller]
         return pb.Welcome(version=1, name=self.name, boot=self.boot, age=self.now_age, held=held, forgot=self.forgot)
 
@@ -194,7 +200,7 @@
         self.starting -= 1
         copy = self.copies.get(copy_id)
         if copy is not None:
-            copy.phase = pb.RUNNING
+            copy.phase, copy.began, copy.used_at = pb.RUNNING, now, now
             self.programs[copy.job.service] = None
             self.programs.move_to_end(copy.job.service)
             while len(self.programs) > self.habits.kept + len(self.copies):
@@ -213,7 +219,10 @@
             return
         share = min(2.0, max(0.1, self.random.gauss(self.habits.use, self.habits.swing)))
         share *= self.faults.surge.get(copy.job.service, 1.0)
+        copy.core_seconds += copy.cores * (now - copy.used_at)
+        copy.used_at = now
         copy.cores, copy.memory = share * copy.job.cores, min(1.2, 0.4 + 0.5 * share) * copy.job.memory
+        copy.memory_most = max(copy.memory_most, copy.memory)
         self.tell(copy, pb.Use(launch=copy.launch(), cores=copy.cores, memory=copy.memory))
         self.arm(now + self.random.uniform(3, 8), "use", copy_id)
         while sum(c.memory for c in self.copies.values()) > self.size.memory:
@@ -257,7 +266,8 @@
         """Handed back before its start, lost after it."""
         if copy in self.starts:
             self.starts.remove(copy)
-        if copy.phase == pb.RUNNING:
+        # where acceptance is the yes, a job that is dropped after it has been lost: its owner was told "placed"
+        if copy.phase == pb.RUNNING or not self.cluster.settings.starts_confirmed:
             self.end(copy.id, pb.LOST, reason)
         else:
             self.copies.pop(copy.id, None)
@@ -267,12 +277,22 @@
         copy = self.copies.pop(copy_id, None)
         if copy is None:
             return
-        copy.phase, copy.outcome, copy.reason = pb.OVER, outcome, reason
+        copy.phase, copy.outcome, copy.reason, copy.ran = pb.OVER, outcome, reason, self.run_of(copy, outcome)
         self.over[copy.id] = copy
         if len(self.over) > ENDS_KEPT:
             self.over.popitem(last=False)
             self.forgot = True
-        self.tell(copy, pb.Ended(launch=copy.launch(), outcome=outcome, reason=reason))
+        self.tell(copy, pb.Ended(launch=copy.launch(), outcome=outcome, reason=reason, ran=copy.ran))
+
+    def run_of(self, copy, outcome):
+        if not copy.began:
+            return None
+        now = self.booted + self.now_age
+        ran = pb.Ran(seconds=now - copy.began, core_seconds=copy.core_seconds + copy.cores * (now - copy.used_at),
+                     memory=copy.memory_most)
+        if outcome in (pb.DONE, pb.ERROR):
+            ran.status = 0 if outcome == pb.DONE else 1
+        return ran
 
     def refuse(self, copy, reason) -> None:
         self.tell(copy, pb.Refused(launch=copy.launch(), reason=reason))
--- a/linedeal/state/journal.py
+++ b/linedeal/state/journal.py
@@ -2,7 +2,7 @@
 
 One transaction a turn of the engine, so that all jobs of a turn share one flush (group commit). With `power`, each
 commit is flushed to the disk and outlives a loss of power; without, it is in the system's hands, which is enough for
-the death of the process at any byte.
+the death of the process at any byte. All times in it are those of `state.steady`.
 """
 
 import sqlite3
@@ -12,62 +12,143 @@
 import msgspec
 
 from linedeal.engine import effects as do
-from linedeal.engine.events import LaunchId
+from linedeal.engine.events import LaunchId, Ran
+from linedeal.engine.ledger import VERDICTS
 from linedeal.engine.recovery import KeptAnswer, OldLaunch, OpenJob
 from linedeal.interface import Job
 from linedeal.state.store import Store, StoreFault
 
 TABLES = """
 CREATE TABLE IF NOT EXISTS jobs (id TEXT PRIMARY KEY, session TEXT, key TEXT, job BLOB, sum INTEGER, expires REAL,
-    verdict TEXT, host TEXT, answered REAL) STRICT;
+    verdict TEXT, host TEXT, answered REAL, work BLOB NOT NULL DEFAULT x'', follow INTEGER NOT NULL DEFAULT 0,
+    held INTEGER NOT NULL DEFAULT 0, starts REAL, taken REAL NOT NULL DEFAULT 0, stage TEXT, life INTEGER,
+    number INTEGER, reason TEXT NOT NULL DEFAULT '', ran BLOB, ended REAL, ending INTEGER NOT NULL DEFAULT 0) STRICT;
 CREATE TABLE IF NOT EXISTS launches (life INTEGER, number INTEGER, job TEXT, host TEXT, boot INTEGER, sent REAL,
     void INTEGER, PRIMARY KEY (life, number)) STRICT, WITHOUT ROWID;
-CREATE INDEX IF NOT EXISTS launches_of ON launches (job);
+CREATE INDEX IF NOT EXISTS launches_of ON launches (job)
 """
+FULL_AT, ROOM_AT = 0.9, 0.8     # parts of the bound: past the first it counts as full, below the second as not
+
+
+class JournalFull(StoreFault):
+    """No room on the disk or within the bound, with the spare given up."""
 
 
 @dataclass(frozen=True, slots=True)
 class Found:
-    """What earlier lives left: jobs owed an answer, and answers that their sessions have not confirmed."""
+    """What earlier lives left: jobs owed an answer, and jobs answered and not forgotten."""
 
     open: tuple[OpenJob, ...]
     answers: tuple[KeptAnswer, ...]
 
 
 class Journal:
-    def __init__(self, store: Store, power: bool = False):
-        self.store, self.db = store, store.db
+    """`most`: bytes it may take. `spare`: bytes held back on the disk, so that what is taken can be seen through."""
+
+    def __init__(self, store: Store, power: bool = False, most: int = 1 << 30, spare: int = 1 << 22):
+        self.store, self.db, self.most, self.spare = store, store.db, most, spare
+        self.spare_path = store.path.with_name("spare")
         try:
             self.db.execute(f"PRAGMA synchronous={'FULL' if power else 'NORMAL'}")
             for statement in TABLES.split(";"):
                 self.db.execute(statement)
+            self.page = self.db.execute("PRAGMA page_size").fetchone()[0]
+            self.db.execute(f"PRAGMA max_page_count={max(most // self.page, 64)}")
         except sqlite3.Error as error:
             raise StoreFault(f"{store.path}: {error}") from None
+        self.full = False
+        self.starved = not self.set_spare()
+
+    # -- room
+
+    def set_spare(self) -> bool:
+        """Takes the spare on the disk; False where there is no room for it."""
+        try:
+            if not self.spare_path.exists() or self.spare_path.stat().st_size < self.spare:
+                with open(self.spare_path, "wb") as file:
+                    for at in range(0, self.spare, 65536):      # real bytes: a hole would hold nothing back
+                        file.write(b"\xa5" * min(65536, self.spare - at))
+            return True
+        except OSError:
+            self.give_spare()
+            return False
+
+    def give_spare(self) -> None:
+        try:
+            self.spare_path.unlink(missing_ok=True)
+        except OSError:
+            pass    # the write that wanted its room fails and says so
+
+    def used(self) -> int:
+        """Bytes in use; freed pages are used again and do not count."""
+        pages, free = (self.db.execute(f"PRAGMA {name}").fetchone()[0] for name in ("page_count", "freelist_count"))
+        return (pages - free) * self.page
+
+    def look(self) -> bool:
+        """Whether it counts as full: then nothing more is taken, and what is taken is seen through."""
+        used = self.used()
+        if self.starved and not self.spare_path.exists():
+            self.starved = not self.set_spare()
+        self.full = self.starved or used > self.most * (ROOM_AT if self.full else FULL_AT)
+        return self.full
+
+    # -- writing
 
     def write(self, at: float, life: int, effects: list) -> None:
         """All that these effects ask to be kept, in one transaction. Raises StoreFault; then nothing of it is kept."""
+        try:
+            self.transact(at, life, effects)
+        except sqlite3.Error as error:
+            if not is_full(error):
+                raise StoreFault(f"{self.store.path}: journal cannot be written: {error}") from None
+            self.full = self.starved = True
+            self.give_spare()
+            try:
+                self.db.execute(f"PRAGMA max_page_count={max((self.most + self.spare) // self.page, 64)}")
+                self.transact(at, life, effects)
+            except sqlite3.Error as again:
+                raise JournalFull(f"{self.store.path}: journal cannot be written: {again}") from None
+
+    def transact(self, at, life, effects) -> None:
         try:
             self.db.execute("BEGIN IMMEDIATE")
             for effect in effects:
                 WRITERS[type(effect)](self, at, life, effect)
             self.db.execute("COMMIT")
-        except sqlite3.Error as error:
+        except sqlite3.Error:
             if self.db.in_transaction:
                 self.db.execute("ROLLBACK")
-            raise StoreFault(f"{self.store.path}: journal cannot be written: {error}") from None
+            raise
 
     def take(self, at, life, effect: do.Take) -> None:
         job = msgspec.msgpack.encode(effect.record)
-        self.db.execute("INSERT OR IGNORE INTO jobs (id, session, key, job, sum, expires) VALUES (?, ?, ?, ?, ?, ?)",
-                        (effect.job, effect.session, effect.key, job, zlib.crc32(job), at + effect.expires_in))
+        starts = at + effect.start_in if effect.start_in else None
+        expires = effect.expires_in if effect.held or starts else at + effect.expires_in
+        self.db.execute(
+            "INSERT OR IGNORE INTO jobs (id, session, key, job, sum, expires, work, follow, held, starts, taken) "
+            "VALUES (?, ?, ?, ?, ?, ?, ?, ?, ?, ?, ?)",
+            (effect.job, effect.session, effect.key, job, zlib.crc32(effect.work, zlib.crc32(job)), expires,
+             effect.work, effect.follow, effect.held, starts, at))
 
     def launch(self, at, life, effect: do.SendLaunch) -> None:
         self.db.execute("INSERT INTO launches VALUES (?, ?, ?, ?, ?, ?, 0)",
                         (life, effect.number, effect.job.id, effect.host, effect.boot, at))
 
     def answer(self, at, life, effect: do.Answer) -> None:
-        self.db.execute("UPDATE jobs SET verdict = ?, host = ?, answered = ? WHERE id = ?",
-                        (effect.verdict.value, effect.host, at, effect.job))
+        stage, over = VERDICTS[effect.verdict.value].name, effect.verdict is not do.Verdict.PLACED
+        self.db.execute(
+            "UPDATE jobs SET verdict = ?, host = ?, answered = ?, stage = ?, life = ?, number = ?, reason = ?, ended = ? "
+            "WHERE id = ?", (effect.verdict.value, effect.host, at, stage, *(effect.launch or (None, None)),
+                             effect.reason, at if over else None, effect.job))
+
+    def hold(self, at, life, effect: do.KeepHold) -> None:
+        self.db.execute("UPDATE jobs SET held = ?, starts = NULL, expires = ? WHERE id = ?",
+                        (effect.held, effect.left if effect.held else at + effect.left, effect.job))
+
+    def course(self, at, life, effect: do.KeepCourse) -> None:
+        ran = None if effect.ran is None else msgspec.msgpack.encode(effect.ran)
+        self.db.execute("UPDATE jobs SET stage = ?, reason = ?, ran = ?, ended = ?, ending = ? WHERE id = ?",
+                        (effect.stage, effect.reason, ran, at if effect.over else None, effect.ending, effect.job))
 
     def void(self, at, life, effect: do.KeepVoid) -> None:
         self.db.execute("UPDATE launches SET void = 1 WHERE life = ? AND number = ?", effect.launch)
@@ -76,30 +157,54 @@
         self.db.execute("DELETE FROM launches WHERE job = ?", (effect.job,))
         self.db.execute("DELETE FROM jobs WHERE id = ?", (effect.job,))
 
-    def read(self, at: float, longest: float) -> Found:
+    # -- reading
+
+    def last_written(self) -> float:
+        """The latest time in it, 0 where there is none."""
+        return self.db.execute(
+            "SELECT max(coalesce((SELECT max(taken) FROM jobs), 0), coalesce((SELECT max(answered) FROM jobs), 0), "
+            "coalesce((SELECT max(ended) FROM jobs), 0), coalesce((SELECT max(sent) FROM launches), 0))").fetchone()[0]
+
+    def read(self, at: float, longest: float, doubt: bool = False) -> Found:
         """What earlier lives left. `longest`: seconds that any job may wait, which bounds what a clock that jumped can
-        do. Raises StoreFault for a record that does not match its checksum."""
+        do; `doubt`: it has jumped, so that no launch's time is believed. Raises StoreFault for a record that does not
+        match its checksum."""
+        launches: dict[str, list[OldLaunch]] = {}
+        for life, number, job, host, boot, sent, void in self.db.execute(
+                "SELECT life, number, job, host, boot, sent, void FROM launches ORDER BY life, number").fetchall():
+            ago = float("inf") if doubt or sent > at else at - sent
+            launches.setdefault(job, []).append(OldLaunch(LaunchId(life, number), host, boot, bool(void), ago))
         open_jobs, answers = [], []
-        for job_id, session, key, blob, total, expires, verdict, host in self.db.execute(
-                "SELECT id, session, key, job, sum, expires, verdict, host FROM jobs ORDER BY rowid").fetchall():
-            if zlib.crc32(blob) != total:
+        for row in self.db.execute(
+                "SELECT id, session, key, job, work, sum, expires, host, follow, held, starts, taken, stage, life, "
+                "number, reason, ran, answered, ended, ending FROM jobs ORDER BY rowid").fetchall():
+            (job_id, session, key, blob, work, total, expires, host, follow, held, starts, taken, stage, life, number,
+             reason, ran, answered, ended, ending) = row
+            if zlib.crc32(work, zlib.crc32(blob)) != total:
                 raise StoreFault(f"{self.store.path}: job {job_id} does not match its checksum")
             job = msgspec.msgpack.decode(blob, type=Job)
-            if verdict is not None:
-                answers.append(KeptAnswer(session, key, job, verdict, host))
+
+            def ago(then):
+                return None if then is None else max(0.0, at - then)
+            if stage is not None:
+                answers.append(KeptAnswer(
+                    session, key, job, stage, host or "", None if life is None else LaunchId(life, number), reason, work,
+                    bool(follow), bool(ending), None if ran is None else msgspec.msgpack.decode(ran, type=Ran),
+                    ago(taken), ago(answered), ago(ended)))
                 continue
-            left = min(max(0.0, expires - at), longest)
-            launches = tuple(OldLaunch(LaunchId(life, number), host, boot, bool(void)) for life, number, host, boot, void
-                             in self.db.execute("SELECT life, number, host, boot, void FROM launches WHERE job = ? "
-                                                "ORDER BY life, number", (job_id,)))
-            open_jobs.append(OpenJob(session, key, job, left, launches))
+            aside = held or starts is not None
+            left = min(max(0.0, expires if aside else expires - at), longest)
+            open_jobs.append(OpenJob(session, key, job, left, tuple(launches.get(job_id, ())), work, bool(follow),
+                                     bool(held), max(0.001, starts - at) if starts is not None else 0.0, ago(taken)))
         return Found(tuple(open_jobs), tuple(answers))
 
     def compact(self, at: float, keep_answers: float) -> int:
-        """Drops answers kept longer than that; returns how many. A clock that was set back drops none early."""
+        """Drops what was kept for its owner longer than that; returns how many jobs. A clock that was set back drops
+        none early."""
         try:
             old = [row[0] for row in self.db.execute(
-                "SELECT id FROM jobs WHERE answered IS NOT NULL AND answered < ? LIMIT 5000", (at - keep_answers,))]
+                "SELECT id FROM jobs WHERE ended < :at OR follow = 0 AND answered < :at LIMIT 5000",
+                {"at": at - keep_answers})]
             if old:
                 self.db.execute("BEGIN IMMEDIATE")
                 for job_id in old:
@@ -112,13 +217,18 @@
         return len(old)
 
 
+def is_full(error: sqlite3.Error) -> bool:
+    code = getattr(error, "sqlite_errorcode", None)
+    return code is not None and code & 0xFF == sqlite3.SQLITE_FULL
+
+
 def to_keep(effects: list) -> list:
     """Those of a turn's effects that have to be on disk before any of the turn is carried out."""
     return [effect for effect in effects
-            if isinstance(effect, (do.KeepVoid, do.KeepNoMore))
+            if isinstance(effect, (do.KeepVoid, do.KeepNoMore, do.KeepHold, do.KeepCourse))
             or isinstance(effect, do.Take) and effect.record is not None
             or isinstance(effect, (do.SendLaunch, do.Answer)) and effect.keep]
 
 
 WRITERS = {do.Take: Journal.take, do.SendLaunch: Journal.launch, do.Answer: Journal.answer, do.KeepVoid: Journal.void,
-           do.KeepNoMore: Journal.drop}
+           do.KeepNoMore: Journal.drop, do.KeepHold: Journal.hold, do.KeepCourse: Journal.course}
--- a/linedeal/state/store.py
+++ b/linedeal/state/store.py
@@ -11,8 +11,8 @@
 import msgspec
 
 from linedeal.engine.events import ListedHost
-
-FORMAT = 1
+from linedeal.state.steady import Base
+from linedeal.state.upgrade import FORMAT, upgrade
 
 
 class StoreFault(Exception):
@@ -35,6 +35,7 @@
             self.db.execute("CREATE TABLE IF NOT EXISTS kept (name TEXT PRIMARY KEY, value BLOB) STRICT")
             self.db.execute("INSERT OR IGNORE INTO kept VALUES ('format', ?)", (msgspec.msgpack.encode(FORMAT),))
             self.db.execute("COMMIT")
+            (health,) = self.db.execute("PRAGMA quick_check(1)").fetchone()
         except sqlite3.OperationalError as error:
             said = "another controller uses it" if "locked" in str(error) else str(error)
             raise StoreFault(f"{path}: {said}") from None
@@ -42,9 +43,15 @@
             raise StoreFault(f"{path}: {error}") from None
         except OSError as error:
             raise StoreFault(f"{path.parent}: {error.strerror}") from None
+        if health != "ok":      # guards against a page that was torn or written by another hand
+            raise StoreFault(f"{path}: damaged: {health.splitlines()[-1]}")
         found = self.get("format", int)
-        if found != FORMAT:
-            raise StoreFault(f"{path}: has format {found}, this version reads {FORMAT}")
+        if not isinstance(found, int) or not 1 <= found <= FORMAT:
+            raise StoreFault(f"{path}: has format {found}, this version reads 1 to {FORMAT}")
+        try:
+            upgrade(self.db, found, lambda number: self.put("format", number))
+        except sqlite3.Error as error:
+            raise StoreFault(f"{path}: cannot be brought from format {found} to {FORMAT}: {error}") from None
 
     def get(self, name: str, kind):
         row = self.db.execute("SELECT value FROM kept WHERE name = ?", (name,)).fetchone()
@@ -78,5 +85,11 @@
     def keep_list(self, at: float, version: int, hosts: tuple[ListedHost, ...]) -> None:
         self.put("list", (at, version, hosts))
 
+    def clock(self) -> Base | None:
+        return self.get("clock", Base)
+
+    def keep_clock(self, base: Base) -> None:
+        self.put("clock", base)
+
     def close(self) -> None:
         self.db.close()
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -201,7 +201,7 @@
 class Forgiving(Engine):
     """Answers nothing when a job is given up."""
 
-    def answer(self, job_id, verdict, host=""):
+    def answer(self, job_id, verdict, host="", launch=None):
         if verdict is do.Verdict.PLACED:
             super().answer(job_id, verdict, host)
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,5 +1,7 @@
 """Jobs that outlive their controller: the journal, what recovery decides, and a kill at every step of a job's course."""
 
+from dataclasses import replace
+
 import pytest
 
 from linedeal import interface as api
@@ -10,11 +12,12 @@
 from linedeal.interface import Effect
 from linedeal.settings.cluster import parse_cluster
 from linedeal.state import Store, StoreFault
-from linedeal.state.journal import Journal, to_keep
+from linedeal.state.journal import Journal, JournalFull, to_keep
 from tests.drive import CLUSTER, Drive
 
 JOB = api.Job("c.1.1", "feed", "", "s", 1.0, 1.0, 9.0)
-OLD = OldLaunch(on.LaunchId(1, 1), "a", 5)
+OLD = OldLaunch(on.LaunchId(1, 1), "a", 5)      # nothing is known of when it was sent
+SENT = replace(OLD, sent_ago=2.0)
 
 
 def account(boot=5, phase=None, forgot=False):
@@ -39,6 +42,12 @@
     ((OLD,), MAY_HAVE, "IRREVERSIBLE", (), False, True, Step.WRITE_OFF),
     ((OLD,), MAY_HAVE, "LABELLED", (), True, True, Step.WRITE_OFF),
     ((OLD,), MAY_HAVE, "REDOABLE", (), False, False, Step.AGAIN),
+    ((SENT,), MAY_HAVE, "LABELLED", (), False, False, Step.AGAIN),
+    ((SENT,), {}, "LABELLED", (), False, False, Step.WAIT),
+    ((SENT,), {}, "LABELLED", (), True, False, Step.AGAIN),
+    ((SENT,), MAY_HAVE, "LABELLED", ("a",), True, False, Step.WAIT),
+    ((SENT,), MAY_HAVE, "LABELLED", (), True, True, Step.WRITE_OFF),
+    ((OLD,), MAY_HAVE, "LABELLED", (), True, False, Step.WAIT),
     ((OLD,), account(forgot=True), "IRREVERSIBLE", (), False, True, Step.WRITE_OFF),
     ((OLD,), {}, "IRREVERSIBLE", ("a",), False, False, Step.WAIT),
     ((OLD,), {}, "REDOABLE", ("a",), False, False, Step.AGAIN),
@@ -51,7 +60,8 @@
 ])
 def test_what_becomes_of_a_job(launches, accounts, effect, lost, over, up, step):
     job = OpenJob("s", "k", JOB, 5.0, launches)
-    assert next_step(job, Effect[effect], accounts, set(lost), over, up) is step
+    listed = frozenset({"a"} - set(lost))
+    assert next_step(job, Effect[effect], accounts, set(lost), over, up, listed) is step
 
 
 # the journal
@@ -68,11 +78,12 @@
     journal = Journal(Store(tmp_path))
     journal.write(100.0, 1, [take(), launch(1), do.KeepVoid(on.LaunchId(1, 1)), launch(2)])
     found = journal.read(102.0, 6.0)
-    assert found.open == (OpenJob("s", "k", JOB, 4.0, (OldLaunch(on.LaunchId(1, 1), "a", 5, True),
-                                                       OldLaunch(on.LaunchId(1, 2), "a", 5))),)
+    assert found.open == (OpenJob("s", "k", JOB, 4.0, (OldLaunch(on.LaunchId(1, 1), "a", 5, True, 2.0),
+                                                       OldLaunch(on.LaunchId(1, 2), "a", 5, False, 2.0)),
+                                  taken_ago=2.0),)
     journal.write(102.0, 1, [do.Answer(1, "k", JOB.id, do.Verdict.PLACED, "a", True)])
     (kept,) = journal.read(103.0, 6.0).answers
-    assert (kept.session, kept.key, kept.job, kept.verdict, kept.host) == ("s", "k", JOB, "placed", "a")
+    assert (kept.session, kept.key, kept.job, kept.stage, kept.host) == ("s", "k", JOB, "PLACED", "a")
     journal.write(104.0, 1, [do.KeepNoMore(JOB.id)])
     assert journal.read(105.0, 6.0).open == journal.read(105.0, 6.0).answers == ()
 
@@ -95,12 +106,31 @@
 
 
 def test_a_full_disk_is_a_plain_message(tmp_path):
-    journal = Journal(Store(tmp_path))
-    journal.db.execute("PRAGMA max_page_count=12")
-    with pytest.raises(StoreFault, match="full"):
-        for number in range(2000):
-            journal.write(1.0, 1, [launch(number)])
-    assert journal.read(1.0, 6.0).open == ()
+    journal = Journal(Store(tmp_path), most=1 << 18, spare=1 << 16)
+    assert journal.spare_path.stat().st_size == 1 << 16
+    number = 0
+    while not journal.full:
+        number += 1
+        journal.write(1.0, 1, [launch(number)])
+    assert not journal.spare_path.exists() and journal.look()       # the spare is what goes on being written to
+    with pytest.raises(JournalFull, match="controller.db: journal cannot be written: database or disk is full"):
+        for again in range(20000):
+            journal.write(1.0, 1, [launch(number + 1 + again)])
+    assert again > 200 and journal.read(1.0, 6.0).open == ()
+
+
+def test_a_journal_near_its_bound_counts_as_full_until_there_is_room(tmp_path):
+    # guards against going to and fro at the bound: it is full past nine tenths, has room under eight
+    journal = Journal(Store(tmp_path), most=1 << 18)
+    jobs = 0
+    while not journal.look():
+        jobs += 20
+        journal.write(1.0, 1, [take(f"k{n}", replace(JOB, id=f"c.1.{n}")) for n in range(jobs - 20, jobs)])
+    assert 0.9 < journal.used() / (1 << 18) < 0.99
+    journal.write(1.0, 1, [do.KeepNoMore(f"c.1.{n}") for n in range(jobs // 20)])
+    assert journal.look()
+    journal.write(1.0, 1, [do.KeepNoMore(f"c.1.{n}") for n in range(jobs // 2)])
+    assert not journal.look()
 
 
 def test_a_record_that_was_changed_is_not_believed(tmp_path):
@@ -174,6 +204,7 @@
         self.now, self.life, self.steps, self.boot = 100.0, 0, 0, 1
         self.held: dict[on.LaunchId, api.Job] = {}
         self.runs = 0
+        self.ran_at: list[float] = []
         self.answers: list[str] = []
         self.reached: list[str] = []
 
@@ -229,6 +260,7 @@
             launch_id = on.LaunchId(self.life, effect.number)
             self.held[launch_id] = effect.job
             self.runs += 1
+            self.ran_at.append(self.now)
             self.events.append((on.Started if self.confirms == "running" else on.Accepted)("a", launch_id))
         elif isinstance(effect, do.Answer) and effect.client == self.life:
             self.answers.append(effect.verdict.value)
@@ -262,8 +294,11 @@
         reached |= set(world.reached)
         told = (world.reached, world.answers, world.runs)
         assert len(world.answers) == 1, told
-        if offering != "web":
+        if offering == "mail":      # again only within the window of the first, whichever life sent that
+            assert all(at < world.ran_at[0] + 4.0 for at in world.ran_at), (told, world.ran_at)
+        elif offering == "feed":
             assert world.runs <= 1, told
+        if offering != "web":
             assert world.runs == 0 or world.answers != ["rejected"], told
         if not reborn:
             assert world.answers == ["placed"], told        # nothing is given up that could be known
