--- a/linedeal/cli.py
+++ b/linedeal/cli.py
@@ -16,7 +16,7 @@
 import anyio
 import typer
 
-from linedeal import logs, processes
+from linedeal import cli_jobs, logs, processes
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False, rich_markup_mode=None,
                   help="linedeal places long-running jobs on a cluster's hosts.", epilog=__doc__.split("\n\n")[1])
@@ -69,11 +69,11 @@
         raise Fault(str(error), 2) from None
 
 
-def run(work, *args, backend: str = "asyncio"):
+def run(work, *args, backend: str = "asyncio", fast: bool = True):
     if backend not in ("asyncio", "trio"):
         raise Fault(f"no backend {backend!r}, asyncio or trio", 2)
     # uvloop carries the same asyncio code at less cost a message; where it is missing nothing else changes
-    options = {"use_uvloop": find_spec("uvloop") is not None} if backend == "asyncio" else {}
+    options = {"use_uvloop": find_spec("uvloop") is not None} if backend == "asyncio" and fast else {}
     return anyio.run(work, *args, backend=backend, backend_options=options)
 
 
@@ -227,43 +227,7 @@
     run(work)
 
 
-@app.command(epilog="Example: linedeal submit --to 127.0.0.1:7100 course-reader --service readers --cores 2 --memory 4")
-def submit(offering: str, to: Annotated[str, typer.Option(help="HOST:PORT of a controller")],
-           service: str = "by-hand", customer: str = "", cores: float = 1.0, memory: float = 1.0,
-           wait: Annotated[float, typer.Option(help="seconds; 0: as long as the offering allows")] = 0.0,
-           session: Annotated[str, typer.Option(help="the job outlives link and controller; needs --key")] = "",
-           key: Annotated[str, typer.Option(help="of the job in its session; asked for again, it is joined")] = "",
-           within: Annotated[float, typer.Option(help="seconds to go on asking, with --session")] = 60.0,
-           as_json: Json = False):
-    """One job by hand; waits for its answer. Exit status 0 only if it was placed."""
-    from linedeal.client import Client, ClientLost, JobAsk, TurnedAway, submit_in_session
-    from linedeal.net import TcpNet
-
-    if bool(session) != bool(key):
-        raise Fault("--session and --key go together", 2)
-    ask = JobAsk(offering, customer, service, cores, memory, wait)
-
-    async def work():
-        try:
-            if session:
-                answer = await submit_in_session(TcpNet(), address_of(to), session, key, ask, within)
-            else:
-                async with Client.connect(TcpNet(), address_of(to), "submit") as client:
-                    answer = await client.submit(ask)
-            return {"verdict": answer.verdict, "job": answer.job, "host": answer.host}
-        except* TurnedAway as group:
-            error = processes.unwrap(group)
-            return_value.update(verdict="turned away", reason=str(error), retry_after=error.retry_after)
-        except* ClientLost as group:
-            error = processes.unwrap(group)
-            return_value.update(verdict="lost", reason=str(error), may_have_run=error.taken)
-        except* TimeoutError:
-            return_value.update(verdict="no answer", reason=f"none within {within:g} s; the same call joins the job")
-
-    return_value: dict = {}
-    found = run(work) or return_value
-    print(json.dumps(found) if as_json else ", ".join(f"{key} {value}" for key, value in found.items() if value != ""))
-    raise typer.Exit(0 if found["verdict"] == "placed" else 1)
+cli_jobs.add(app, run, Fault)
 
 
 @app.command(epilog="Example: linedeal day examples/bad-day.day")
--- a/linedeal/controller/front.py
+++ b/linedeal/controller/front.py
@@ -12,7 +12,7 @@
 from linedeal.engine import events as on
 from linedeal.net import Address, Link, LinkLost, Net, until_lost
 from linedeal.protocol import VERSION, encode, pb
-from linedeal.settings.cluster import Limits
+from linedeal.settings.cluster import Cluster
 
 SESSION_MOST = 200  # characters of a session's name
 KEY_MOST = 200      # characters of a client's key for a job
@@ -33,8 +33,9 @@
 
 
 class Front:
-    def __init__(self, controller: str, net: Net, limits: Limits, keys: owners.Keys, inbox: Inbox, log):
-        self.keys = keys
+    def __init__(self, controller: str, net: Net, cluster: Cluster, inbox: Inbox, log):
+        self.keys, limits = cluster.keys, cluster.limits
+        self.offerings = translate.offerings(cluster.settings)
         self.controller, self.net, self.limits, self.inbox, self.log = controller, net, limits, inbox, log
         self.clients: dict[int, Client] = {}
         self.numbers = 0
@@ -94,7 +95,8 @@
                     raise LinkLost(str(error)) from None
                 client.name = hello.name[:80]
                 client.session = owners.qualified(client.proven, hello.session[:SESSION_MOST])
-                await client.link.send(encode(pb.Welcome(version=min(hello.version, VERSION), name=self.controller)))
+                await client.link.send(encode(pb.Welcome(
+                    version=min(hello.version, VERSION), name=self.controller, offerings=self.offerings)))
         except TimeoutError:
             raise LinkLost(f"no hello within {self.limits.hello:g} s") from None
 
--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -58,13 +58,13 @@
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Runs until `leave` is called or the life has to end (Halted). Tells the address that clients may use."""
-        limits, now = self.setup.cluster.limits, anyio.current_time()
+        now = anyio.current_time()
         self.engine = Engine(self.setup.cluster, self.setup.name, self.life, self.setup.seed + self.life, now,
                              self.policy)
         self.inbox = Inbox(self.engine.put)
-        self.front = Front(self.setup.name, self.net, limits, self.setup.cluster.keys, self.inbox, self.log)
-        self.watch = DiscoveryWatch(self.setup.discovery, self.setup.name, self.life, self.net, limits, self.inbox,
-                                    self.log)
+        self.front = Front(self.setup.name, self.net, self.setup.cluster, self.inbox, self.log)
+        self.watch = DiscoveryWatch(self.setup.discovery, self.setup.name, self.life, self.net,
+                                    self.setup.cluster.limits, self.inbox, self.log)
         numbers = itertools.count(1)
         self.next_link = lambda: next(numbers)
         async with anyio.create_task_group() as self.tasks:
--- a/linedeal/controller/translate.py
+++ b/linedeal/controller/translate.py
@@ -103,6 +103,12 @@
         ended_ago=effect.ended_ago, name=name_of(effect.work), ending=effect.ending)
 
 
+def offerings(settings: api.Settings) -> list[pb.OfferingInfo]:
+    """What clients are told of the offerings: they need to know which may be asked for twice."""
+    return [pb.OfferingInfo(name=name, redoable=item.effect is api.Effect.REDOABLE, expiry=item.expiry)
+            for name, item in settings.offerings.items()]
+
+
 def name_of(work: bytes) -> str:
     """The name that a job's owner gave it; the one thing in its work that is shown."""
     try:
