Test owners over breaks and kills; end what a moved job left at its first controller

Change: tests on a mock clock with real journals; found by them: a moved job that its first controller still held was not ended when that came back.

--- a/linedeal/client/owner.py
+++ b/linedeal/client/owner.py
@@ -124,6 +124,7 @@
     refuses: bool = False
     writing: anyio.Lock = field(default_factory=anyio.Lock)
     orders: dict[str, deque] = field(default_factory=dict)
+    strays: dict[str, None] = field(default_factory=dict)       # jobs there that were moved meanwhile
 
     def __str__(self) -> str:
         return f"{self.address[0]}:{self.address[1]}"
@@ -150,6 +151,7 @@
         self.effects: dict[str, bool] = {}      # offering: whether it is redoable
         self.changed = anyio.Event()
         self.prefix, self.numbers = secrets.token_hex(3), 0
+        self.moved: dict[str, list[Home]] = {}          # forgotten jobs, and where something of them may still be
         self.news: deque[str] = deque(maxlen=4096)      # keys of jobs that changed, the newest last
         self.news_count = 0
         self.unseen = anyio.Semaphore(UNSEEN_MOST)
@@ -316,6 +318,8 @@
             raise NoSuchJob(key)
         if job.standing.over:
             del self.courses[key]
+            if job.left:
+                self.moved[key] = job.left
             if job.home.link is not None:
                 await self.send(job.home, pb.Forget(key=key))
 
@@ -412,6 +416,9 @@
         for job in list(self.courses.values()):
             if job.home is home and job.state is State.ASKED and job.submit is not None:
                 await self.ask(job)
+        for key in list(home.strays):
+            await self.end_stray(home, key)
+        home.strays.clear()
         for key, orders in list(home.orders.items()):
             for waiting in orders:
                 waiting.again = True
@@ -438,15 +445,17 @@
 
     async def told(self, home: Home, message: pb.Standing) -> None:
         job = self.courses.get(message.key)
+        if home in (self.moved.get(message.key, ()) if job is None else job.left):
+            # the job was moved; what its first home still holds of it is ended, whatever came of it
+            if home.link is None:
+                home.strays[message.key] = None     # told on the way to standing: ended once the link does
+            else:
+                await self.end_stray(home, message.key)
+            return
         if job is None:
             job = self.courses[message.key] = Course(message.key, home, None, Standing(message.key, "asked"),
                                                      sent=True, redoable=self.effects.get(message.job.offering, False))
         elif job.home is not home:
-            # the job was moved; what its first home still holds of it is ended, whatever came of it
-            if home in job.left and STAGES.get(message.stage) in (*BEFORE, *AT_HOST) and not message.ending:
-                await self.send_to(home, pb.Order(key=message.key, kind=pb.END))
-            elif home in job.left:
-                await self.send_to(home, pb.Forget(key=message.key))
             return
         if job.state in (State.OVER, State.UNKNOWN):
             return
@@ -455,9 +464,9 @@
         job.taken.set()
         self.wake(job.key)
 
-    async def send_to(self, home: Home, message) -> None:
-        if home.link is not None:
-            await self.send(home, message)
+    async def end_stray(self, home: Home, key: str) -> None:
+        await self.send(home, pb.Order(key=key, kind=pb.END))
+        await self.send(home, pb.Forget(key=key))       # passed over there until it has ended
 
     async def turned_away(self, home: Home, message: pb.TurnedAway) -> None:
         job = self.courses.get(message.key)
--- a/linedeal/drmaa/library/drmaa.c
+++ b/linedeal/drmaa/library/drmaa.c
@@ -563,9 +563,8 @@
 }
 
 int drmaa_wexitstatus(int *exit_status, int stat, char *error, size_t error_len) {
-  if (!(stat & STAT_EXITED))
-    return fail(DRMAA_ERRNO_INVALID_ARGUMENT, "the job did not exit by itself", error, error_len);
-  return tell(exit_status, stat & 0xff, error, error_len);
+  /* programs ask this without asking whether it exited: what did not must never read as a success */
+  return tell(exit_status, stat & STAT_EXITED ? stat & 0xff : 1, error, error_len);
 }
 
 int drmaa_wifsignaled(int *signaled, int stat, char *error, size_t error_len) {
--- a/linedeal/settings/cluster.py
+++ b/linedeal/settings/cluster.py
@@ -137,13 +137,13 @@
     settings = to_settings(blocks)
     limits, rules = Limits(**blocks["limits"][""]), Rules(**blocks["rules"][""])
     journal = JournalSettings(**blocks["journal"][""])
-    keys = Keys({name: item["key"] for name, item in blocks["customer"].items() if item["key"] is not None},
+    keys = Keys({customer: item["key"] for customer, item in blocks["customer"].items() if item["key"] is not None},
                 blocks["clients"][""]["keys_needed"])
-    for name, item in blocks["customer"].items():
+    for customer, item in blocks["customer"].items():
         if item["key"] is None and item["cores"] is None:
-            fault(f"customer {name}", "cores or key is missing")
+            fault(f"customer {customer}", "cores or key is missing")
         if item["key"] is not None and not FORM.fullmatch(item["key"]):
-            fault(f"customer {name}", "key is no hash; `linedeal key` makes one")
+            fault(f"customer {customer}", "key is no hash; `linedeal key` makes one")
     if keys.needed and not keys.hashes:
         fault("clients", "keys_needed, and no customer has a key")
     for where, said in build.faults(settings) + build.doubts(settings):
--- /dev/null
+++ b/tests/ground.py
@@ -0,0 +1,97 @@
+"""A small cluster for clients: controllers and stand-in hosts in this process, over pipes in memory on a mock clock, or
+over loopback sockets in a thread of its own for clients that are programs."""
+
+import logging
+import random
+from contextlib import ExitStack, contextmanager
+
+import anyio
+import anyio.from_thread
+import structlog
+import trio
+import trio.testing
+
+from linedeal.controller.runtime import Runtime, Setup
+from linedeal.lab.day import parse_day
+from linedeal.lab.inprocess import InProcess
+from linedeal.net import TcpNet
+from linedeal.settings.cluster import parse_cluster
+from linedeal.standin.discovery import Discovery
+from linedeal.standin.host import HostServer
+from linedeal.standin.model import Habits, HostModel
+from linedeal.state import Store
+from tests.drive import CLUSTER
+
+CLUSTER = CLUSTER.replace("held = 5", "held = 20000").replace("controllers = 1", "controllers = 2")
+QUIET = structlog.wrap_logger(structlog.PrintLogger(), wrapper_class=structlog.make_filtering_bound_logger(
+    logging.CRITICAL))
+
+
+def in_memory(directory, work, hosts=3, habits="setup=0.1 life=1", cluster=CLUSTER):
+    """Plays `work(ground)` on a mock clock: `ground.net`, controllers c1 and c2, hosts h01 ...; its result."""
+    (directory / "cluster.hcl").write_text(cluster)
+    day = parse_day(f"cluster cluster.hcl\nseed 5\nlength 1\ncontrollers 2\nhabit {habits}\nhosts {hosts} kind std\n"
+                    "load web 1\n", str(directory / "x.day"), directory)
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(5)
+
+    async def main():
+        async with InProcess(day, directory, QUIET) as ground:
+            return await work(ground)
+
+    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class OverSockets:
+    """Use `over_sockets`. `contact` names both controllers."""
+
+    def __init__(self, directory, cluster, habits):
+        self.directory, self.cluster, self.habits = directory, parse_cluster(cluster), habits
+        self.net, self.boots = TcpNet(), {}
+        self.scopes: dict[str, anyio.CancelScope] = {}
+        self.places: dict[str, tuple] = {}
+
+    async def run(self, *, task_status):
+        async with anyio.create_task_group() as self.tasks:
+            self.found = await self.tasks.start(Discovery(self.net).run, ("127.0.0.1", 0))
+            for name in ("h1", "h2", "h3"):
+                model = HostModel(name, "std", self.cluster, self.habits, 1, random.Random(name),
+                                  anyio.current_time(), False)
+                server = HostServer(model, self.net, self.found, "itself", "z", 0)
+                await self.tasks.start(server.run, ("127.0.0.1", 0))
+            await anyio.sleep(0.3)
+            for name in ("c1", "c2"):
+                await self.start(name)
+            await anyio.sleep(0.3)
+            self.contact = ",".join(f"127.0.0.1:{port}" for _, port in self.places.values())
+            task_status.started()
+
+    async def start(self, name):
+        store = Store(self.directory / name)
+        setup = Setup(name, self.cluster, self.places.get(name, ("127.0.0.1", 0)), self.found, 7)
+        runtime = Runtime(setup, store, self.net, QUIET)
+        scope = self.scopes[name] = anyio.CancelScope()
+
+        async def run(*, task_status):
+            try:
+                with scope:
+                    await runtime.run(task_status=task_status)
+            finally:
+                store.close()
+
+        self.places[name] = await self.tasks.start(run)
+
+    async def kill(self, name):
+        self.scopes[name].cancel()
+        await anyio.sleep(0.05)
+
+
+@contextmanager
+def over_sockets(directory, cluster=CLUSTER, habits=Habits(setup=0.02, life=0.4, look=0.001)):
+    ground = OverSockets(directory, cluster, habits)
+    with ExitStack() as stack:
+        portal = stack.enter_context(anyio.from_thread.start_blocking_portal("asyncio"))
+        future, _ = portal.start_task(ground.run)
+        stack.callback(future.cancel)
+        ground.call = portal.call
+        yield ground
--- /dev/null
+++ b/tests/test_owner.py
@@ -0,0 +1,517 @@
+"""Owners of sessions' jobs: the ruling on orders, the client's rules, and whole courses over breaks and kills."""
+
+from dataclasses import replace
+from random import Random
+
+import anyio
+import pytest
+
+from linedeal import interface as api
+from linedeal.client import JobAsk, TurnedAway
+from linedeal.client.contact import Contact, ContactFault, parse_contact, token_of
+from linedeal.client.course import Next, State, View, home_away, home_back
+from linedeal.client.owner import END, HOLD, RELEASE, NoSuchJob, OrderRefused, Owner, OwnerFault
+from linedeal.controller import owners
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
+from linedeal.engine.control import Fault, Move, OrderKind, rule
+from linedeal.engine.ledger import Entry, Stage
+from linedeal.engine.recovery import KeptAnswer, OldLaunch, OpenJob
+from linedeal.interface import Effect
+from linedeal.protocol import pb
+from linedeal.settings.cluster import ConfigFault, parse_cluster
+from linedeal.settings.keys import Keys, hash_of
+from tests.drive import CLUSTER, Drive
+from tests.ground import CLUSTER as PAIR
+from tests.ground import in_memory
+
+JOB = api.Job("c.1.1", "feed", "", "s", 1.0, 1.0, 9.0)
+
+
+# what an order does
+
+@pytest.mark.parametrize("kind, stage, out, ran, effect, move", [
+    ("END", "WAITING", False, False, "IRREVERSIBLE", Move.REJECT),
+    ("END", "WAITING", True, False, "IRREVERSIBLE", Move.WRITE_OFF),
+    ("END", "WAITING", True, False, "LABELLED", Move.WRITE_OFF),
+    ("END", "WAITING", True, True, "REDOABLE", Move.REJECT),
+    ("END", "WAITING", False, True, "LABELLED", Move.WRITE_OFF),
+    ("END", "HELD", False, False, "IRREVERSIBLE", Move.REJECT),
+    ("END", "PLACED", True, False, "IRREVERSIBLE", Move.STOP),
+    ("END", "RUNNING", True, False, "REDOABLE", Move.STOP),
+    ("END", "DONE", False, False, "REDOABLE", Move.REFUSE),
+    ("HOLD", "WAITING", False, False, "IRREVERSIBLE", Move.HOLD),
+    ("HOLD", "LATER", False, False, "IRREVERSIBLE", Move.HOLD),
+    ("HOLD", "WAITING", True, False, "REDOABLE", Move.REFUSE),
+    ("HOLD", "WAITING", False, True, "LABELLED", Move.REFUSE),
+    ("HOLD", "WAITING", False, True, "REDOABLE", Move.HOLD),
+    ("HOLD", "HELD", False, False, "REDOABLE", Move.NOTHING),
+    ("HOLD", "RUNNING", True, False, "REDOABLE", Move.REFUSE),
+    ("RELEASE", "HELD", False, False, "REDOABLE", Move.RELEASE),
+    ("RELEASE", "WAITING", False, False, "REDOABLE", Move.REFUSE),
+    ("RELEASE", "REJECTED", False, False, "REDOABLE", Move.REFUSE),
+])
+def test_what_an_order_does(kind, stage, out, ran, effect, move):
+    assert rule(OrderKind[kind], Entry("s", "k", JOB, stage=Stage[stage]), out, ran, Effect[effect]).move is move
+
+
+def ask(d, now, offering="web", key="k", client=1, **rest):
+    return d.turn(now, on.Submitted(client, key, offering, "", "v", 1.0, 1.0, 0.0, "s", follow=True, **rest))
+
+
+def order(d, now, kind, key="k"):
+    return d.turn(now, on.Ordered(1, "s", key, OrderKind[kind]))
+
+
+def stages(d, effects):
+    return [effect.stage.name for effect in d.only(do.Standing, effects)]
+
+
+def fault(d, effects):
+    return d.only(do.Reply, effects)[0].fault
+
+
+def test_a_held_job_is_not_launched_and_its_time_stands_still():
+    d = Drive()
+    assert not d.only(do.SendLaunch, ask(d, 1.0, hold=True))
+    assert not d.only(do.Answer, d.rest(100.0))         # its six seconds do not pass
+    effects = order(d, 100.0, "RELEASE")
+    sent = d.only(do.SendLaunch, effects)[0]
+    assert sent.job.expiry == 106.0 and stages(d, effects) == ["WAITING"]
+    assert do.KeepHold(sent.job.id, False, 6.0, 0.0) in effects
+
+
+def test_a_start_time_is_waited_for():
+    d = Drive()
+    assert stages(d, ask(d, 1.0, start_in=5.0)) == ["LATER"]
+    assert not d.only(do.SendLaunch, d.rest(5.9))
+    assert d.only(do.SendLaunch, d.rest(6.1))
+
+
+def test_a_hold_at_the_moment_of_launch_is_refused():
+    # guards against a job that its owner believes held while a host is about to say yes
+    d = Drive()
+    job = d.only(do.SendLaunch, ask(d, 1.0))[0].job
+    assert fault(d, order(d, 1.0, "HOLD")) is Fault.WRONG_STATE
+    sent = d.engine.by_job[job.id]
+    d.turn(1.1, on.Refused(sent.host, sent.id, api.Why.CORES))
+    if job.id not in d.engine.by_job:
+        assert fault(d, order(d, 1.1, "HOLD")) is Fault.NONE
+
+
+def test_a_labelled_job_that_may_have_run_cannot_be_held():
+    d = Drive()
+    sent = d.only(do.SendLaunch, ask(d, 1.0, "mail"))[0]
+    d.turn(1.0, on.Left(sent.host, d.links[sent.host], (sent.number,)))
+    d.engine.taken[sent.job.id].risk = (sent.host, 1.0)
+    d.engine.by_job.pop(sent.job.id)
+    assert fault(d, order(d, 1.1, "HOLD")) is Fault.WRONG_STATE
+
+
+@pytest.mark.parametrize("offering, verdict", [("web", "rejected"), ("mail", "written off"), ("feed", "written off")])
+def test_ending_a_job_whose_launch_has_no_answer_is_answered_at_once(offering, verdict):
+    d = Drive()
+    sent = d.only(do.SendLaunch, ask(d, 1.0, offering))[0]
+    d.turn(1.0, on.Left(sent.host, d.links[sent.host], (sent.number,)))
+    effects = order(d, 1.1, "END")
+    assert d.verdicts(effects) == [verdict] and d.only(do.SendStop, effects)
+    late = d.turn(1.2, on.Accepted(sent.host, on.LaunchId(3, sent.number)))
+    assert d.only(do.SendStop, late) and not d.only(do.Answer, late)    # what comes after is stopped, and no answer
+    assert not d.only(do.SendLaunch, d.rest(20.0))
+
+
+def test_a_jobs_course_is_kept_and_told_to_its_end():
+    d = Drive()
+    sent = d.only(do.SendLaunch, ask(d, 1.0))[0]
+    launch = on.LaunchId(3, sent.number)
+    d.turn(1.0, on.Left(sent.host, d.links[sent.host], (sent.number,)))
+    assert stages(d, d.turn(1.1, on.Accepted(sent.host, launch))) == ["PLACED"]
+    assert stages(d, d.turn(1.2, on.Started(sent.host, launch))) == ["RUNNING"]
+    ran = on.Ran(3, 2.0, 1.5, 0.5)
+    effects = d.turn(3.2, on.Over(sent.host, launch, api.Result.ERROR, api.Why.EVICTED, ran))
+    assert stages(d, effects) == ["ERROR"] and d.only(do.Standing, effects)[0].ran == ran
+    keep = effects.index(do.KeepCourse(sent.job.id, "ERROR", "memory ran out", ran, over=True))
+    assert keep < len(effects)
+    assert not d.only(do.KeepNoMore, d.turn(3.3, on.AnswerSeen("s", "k")))      # it is followed: kept until forgotten
+    assert d.only(do.KeepNoMore, d.turn(3.4, on.Forgotten("s", "k")))
+    assert fault(d, d.turn(3.5, on.StandingAsked(1, "s", "k"))) is Fault.NO_SUCH_JOB
+
+
+def test_a_running_job_is_not_forgotten():
+    d = Drive()
+    sent = d.only(do.SendLaunch, ask(d, 1.0))[0]
+    d.turn(1.1, on.Accepted(sent.host, on.LaunchId(3, sent.number)))
+    assert d.turn(1.2, on.Forgotten("s", "k")) == []
+
+
+def test_an_end_is_ordered_again_on_a_new_link():
+    # guards against a stop that was lost with its link: the job would run on for ever
+    d = Drive()
+    sent = d.only(do.SendLaunch, ask(d, 1.0))[0]
+    launch = on.LaunchId(3, sent.number)
+    d.turn(1.0, on.Left(sent.host, d.links[sent.host], (sent.number,)))
+    d.turn(1.1, on.Accepted(sent.host, launch))
+    d.down(sent.host, 1.2)
+    assert fault(d, order(d, 1.3, "END")) is Fault.NONE
+    up = d.up(sent.host, d.engine.fleet.hosts[sent.host].listed.boot, 2.0,
+              held=(on.Held(launch, sent.job, on.Phase.RUNNING),))
+    assert do.SendStop(sent.host, launch) in up
+
+
+def test_a_job_of_a_host_that_is_reborn_is_told_as_lost():
+    d = Drive()
+    sent = d.only(do.SendLaunch, ask(d, 1.0))[0]
+    d.turn(1.0, on.Left(sent.host, d.links[sent.host], (sent.number,)))
+    d.turn(1.1, on.Accepted(sent.host, on.LaunchId(3, sent.number)))
+    d.down(sent.host, 1.2)
+    assert "LOST" in stages(d, d.up(sent.host, 9, 2.0, age=1.0))
+
+
+def recovered(*answers, open_jobs=()):
+    d = Drive()
+    d.engine.recover(tuple(open_jobs), answers)
+    return d
+
+
+def placed(stage="RUNNING", host="a", **rest):
+    return KeptAnswer("s", "k", JOB, stage, host, on.LaunchId(1, 4), follow=True, taken_ago=5.0, placed_ago=4.0, **rest)
+
+
+def test_after_a_restart_a_placed_job_is_found_or_told_as_lost():
+    d = recovered(placed())
+    host = next(iter(d.engine.fleet.hosts))
+    d.engine.sessions.unaccounted[host] = d.engine.sessions.unaccounted.pop("a")
+    d.engine.sessions.ledger.by_job[JOB.id].host = host
+    d.turn(0.1, on.StandingAsked(1, "s", ""))
+    effects = d.up(host, 1, 0.2, held=(on.Held(on.LaunchId(1, 4), JOB, on.Phase.RUNNING),))
+    assert "LOST" not in stages(d, effects)
+    d = recovered(placed())
+    d.engine.sessions.unaccounted[host] = d.engine.sessions.unaccounted.pop("a")
+    d.engine.sessions.ledger.by_job[JOB.id].host = host
+    d.turn(0.1, on.StandingAsked(1, "s", ""))
+    assert stages(d, d.up(host, 1, 0.2)) == ["LOST"]
+
+
+def test_after_a_restart_a_job_on_a_host_that_no_list_names_is_lost():
+    d = recovered(placed(host="nowhere"))
+    d.turn(0.1, on.StandingAsked(1, "s", ""))
+    assert stages(d, d.list(list(d.engine.fleet.hosts), 0.2)) == ["LOST"]
+
+
+def test_an_end_ordered_in_an_earlier_life_is_carried_out():
+    d = recovered(placed(ending=True))
+    effects = d.up(next(iter(d.engine.fleet.hosts)), 1, 0.2,
+                   held=(on.Held(on.LaunchId(1, 4), JOB, on.Phase.RUNNING),))
+    assert any(stop.launch == on.LaunchId(1, 4) for stop in d.only(do.SendStop, effects))
+
+
+def test_a_labelled_job_goes_on_in_its_group_and_window_after_a_restart():
+    host = next(iter(Drive().engine.fleet.hosts))
+    mail = replace(JOB, offering="mail")
+    for ago, other_zone, goes_on in ((1.0, False, True), (3.9, False, False), (1.0, True, False),
+                                     (float("inf"), False, False)):
+        d = Drive()
+        d.engine.recover((OpenJob("s", "k", mail, 5.0, (OldLaunch(on.LaunchId(1, 4), host, 1, False, ago),)),), ())
+        if other_zone:      # only hosts of another group are left
+            d.list([name for name in d.engine.fleet.hosts if name != host], 0.1, zone="far")
+            d.engine.fleet.hosts[host] = d.engine.fleet.hosts.get(host) or None
+            d.engine.fleet.hosts.pop(host)
+        effects = d.up(host, 2, 0.2, age=1.0) + d.rest(4.0)
+        assert bool(d.only(do.SendLaunch, effects)) is goes_on, (ago, other_zone)
+
+
+def test_a_hold_lasts_over_a_restart_and_not_for_ever():
+    d = recovered(open_jobs=[OpenJob("s", "k", replace(JOB, expiry=float("inf")), 4.0, held=True, follow=True)])
+    assert not d.only(do.SendLaunch, d.rest(50.0))
+    d.turn(50.0, on.StandingAsked(1, "s", ""))
+    assert d.only(do.SendLaunch, order(d, 50.0, "RELEASE"))[0].job.expiry == 54.0
+    d = Drive()
+    ask(d, 1.0, hold=True)
+    effects = d.jump(1.0 + d.engine.cluster.limits.hold)
+    assert d.verdicts(effects) == ["rejected"]
+
+
+# who may
+
+def test_only_the_owner_of_a_key_is_let_in():
+    keys = Keys({"school": hash_of("secret")})
+    assert owners.admit(keys, "school", "secret") == "school" and owners.admit(keys, "", "") == ""
+    for customer, token in (("school", "wrong"), ("school", ""), ("shop", "secret"), ("", "secret")):
+        with pytest.raises(owners.NotAdmitted):
+            owners.admit(keys, customer, token)
+    with pytest.raises(owners.NotAdmitted):
+        owners.admit(replace(keys, needed=True), "shop", "")
+    assert owners.qualified("", "school/s") != owners.qualified("school", "s")
+
+
+def test_keys_are_compared_in_constant_time(monkeypatch):
+    # guards against a comparison that ends at the first difference, which tells how much of a key is right
+    compared = []
+    monkeypatch.setattr(owners.hmac, "compare_digest", lambda a, b: compared.append((a, b)) or a == b)
+    owners.admit(Keys({"school": hash_of("x")}), "school", "x")
+    with pytest.raises(owners.NotAdmitted):
+        owners.admit(Keys({"school": hash_of("x")}), "nobody", "x")
+    assert len(compared) == 2       # an unknown customer costs the same
+
+
+@pytest.mark.parametrize("text, said", [
+    ('customer "a" {\n key = "secret"\n}', "cluster.hcl: customer a: key is no hash"),
+    ('customer "a" {\n}', "customer a: cores or key is missing"),
+    ('clients {\n keys_needed = true\n}', "clients: keys_needed, and no customer has a key")])
+def test_faulty_keys_are_named(text, said):
+    with pytest.raises(ConfigFault, match=said):
+        parse_cluster(CLUSTER + text)
+
+
+# the client's rules
+
+@pytest.mark.parametrize("state, sent, redoable, safe, away, another, step", [
+    ("ASKED", False, False, False, 0.0, True, Next.MOVE), ("ASKED", True, False, False, 99.0, True, Next.WAIT),
+    ("ASKED", True, True, False, 99.0, True, Next.MOVE), ("ASKED", True, True, False, 0.1, True, Next.WAIT),
+    ("TAKEN", True, True, False, 99.0, True, Next.MOVE), ("TAKEN", True, False, False, 99.0, True, Next.WAIT),
+    ("TAKEN", True, False, True, 0.0, True, Next.MOVE), ("TAKEN", True, True, False, 99.0, False, Next.WAIT),
+    ("ANSWERED", True, True, True, 99.0, True, Next.WAIT), ("OVER", True, True, False, 99.0, True, Next.WAIT)])
+def test_what_a_client_does_when_its_controller_is_away(state, sent, redoable, safe, away, another, step):
+    assert home_away(View(State[state], sent, redoable, safe), away, 2.0, another) is step
+
+
+@pytest.mark.parametrize("state, redoable, listed, step", [
+    ("ASKED", False, False, Next.ASK), ("ASKED", False, True, Next.WAIT), ("TAKEN", False, False, Next.UNKNOWN),
+    ("TAKEN", True, False, Next.ASK), ("ANSWERED", True, False, Next.UNKNOWN), ("OVER", False, False, Next.WAIT)])
+def test_what_a_client_does_when_its_controller_is_back(state, redoable, listed, step):
+    assert home_back(View(State[state], True, redoable), listed) is step
+
+
+@pytest.mark.parametrize("text", ["", "/s", "host", "h:1/a b", "h:1/s?user=x", "h:1/" + "x" * 121, "h:x/s"])
+def test_faulty_contacts_are_named(text):
+    with pytest.raises(ContactFault):
+        parse_contact(text)
+
+
+def test_a_customers_key_is_read_from_a_file(tmp_path, monkeypatch):
+    (tmp_path / "key").write_text("secret\n")
+    monkeypatch.setenv("LINEDEAL_TOKEN_FILE", str(tmp_path / "key"))
+    assert token_of("school") == "secret" and token_of("") == ""
+    monkeypatch.setenv("LINEDEAL_TOKEN_FILE", str(tmp_path / "none"))
+    with pytest.raises(ContactFault, match="no key can be read"):
+        token_of("school")
+
+
+# whole courses, on a mock clock
+
+C1 = Contact((("c1", 1),), "s")
+BOTH = Contact((("c1", 1), ("c2", 1)), "s")
+WEB, MAIL, FEED = (JobAsk(offering, "", "v", 1.0, 1.0) for offering in ("web", "mail", "feed"))
+
+
+def test_jobs_of_all_effects_are_followed_over_a_kill(tmp_path):
+    async def work(ground):
+        async with Owner.open(ground.net, C1) as owner:
+            keys = [await owner.submit(ask) for ask in (WEB, MAIL, FEED) for _ in range(5)]
+            await ground.kill("c1")
+            await anyio.sleep(0.5)
+            await ground.start("c1")
+            found = await owner.until(keys, lambda standing: standing.over, every=True)
+            assert owner.keys() == keys
+            for key in keys:
+                await owner.forget(key)
+        async with Owner.open(ground.net, C1) as owner:
+            assert owner.keys() == []
+        return [standing.stage for standing in found]
+
+    assert in_memory(tmp_path, work) == ["done"] * 15
+
+
+def test_a_session_is_opened_again_with_its_jobs(tmp_path):
+    async def work(ground):
+        async with Owner.open(ground.net, C1) as owner:
+            held = await owner.submit(FEED, hold=True, work=pb.Work(name="feed 7", command="feed"))
+            ended = await owner.submit(WEB)
+            await owner.until_over(ended)
+        await ground.kill("c1")
+        await ground.start("c1")
+        async with Owner.open(ground.net, C1) as owner:
+            standing = owner.standing(held)
+            assert (standing.stage, standing.name, standing.offering) == ("held", "feed 7", "feed")
+            assert owner.standing(ended).stage == "done" and owner.standing(ended).ran.status == 0
+            await owner.order(held, RELEASE)
+            assert (await owner.until_over(held)).stage == "done"
+            with pytest.raises(NoSuchJob):
+                await owner.find("nothing", 0.1)
+            with pytest.raises(OrderRefused):
+                await owner.order(held, HOLD)
+    in_memory(tmp_path, work)
+
+
+def test_two_clients_with_one_key_share_one_job(tmp_path):
+    async def work(ground):
+        async with Owner.open(ground.net, C1) as one, Owner.open(ground.net, C1) as other:
+            assert await one.submit(FEED, "k") == await other.submit(FEED, "k") == "k"
+            assert (await one.until_over("k")).job == (await other.until_over("k")).job
+            with pytest.raises(TurnedAway, match="names another job"):
+                await other.submit(WEB, "k")
+        assert sum(len(host.model.over) + len(host.model.copies) for name, host in ground.servers.items()
+                   if name.startswith("h")) <= 1
+    in_memory(tmp_path, work)
+
+
+def test_a_redoable_job_goes_elsewhere_and_an_irreversible_one_waits(tmp_path):
+    # guards against a second effect: only the home of an irreversible job can tell what became of it
+    async def work(ground):
+        async with Owner.open(ground.net, BOTH) as owner:
+            home = owner.homes[0].address[0]
+            web, feed = await owner.submit(WEB, hold=True), await owner.submit(FEED, hold=True)
+            await ground.kill(home)
+            await anyio.sleep(4.0)
+            assert owner.courses[web].home.address[0] != home and owner.courses[feed].home.address[0] == home
+            await owner.order(web, RELEASE)
+            assert (await owner.until_over(web)).stage == "done"
+            assert owner.standing(feed).stage == "held"
+            await ground.start(home)
+            await anyio.sleep(1.0)
+            await owner.order(feed, RELEASE)
+            assert (await owner.until_over(feed)).stage == "done"
+            # back at its first home the redoable job is ended and forgotten: it runs once
+            await anyio.sleep(3.0)
+        engine = ground.servers[home].engine
+        assert not any(entry.key == web for entry in engine.sessions.ledger.entries.values())
+    in_memory(tmp_path, work)
+
+
+def test_a_job_that_is_ended_at_its_host_says_so(tmp_path):
+    async def work(ground):
+        async with Owner.open(ground.net, C1) as owner:
+            key = await owner.submit(FEED)
+            await owner.until([key], lambda standing: standing.stage == "running")
+            await owner.order(key, END)
+            ended = await owner.until_over(key)
+            assert ended.stage == "stopped" and ended.ran.status is None and ended.ending
+            late = await owner.submit(WEB, start_in=60.0)
+            await owner.order(late, END)
+            assert owner.standing(late).stage == "rejected" and owner.standing(late).reason == "ended by its owner"
+    in_memory(tmp_path, work, habits="setup=0.1 life=50")
+
+
+def test_a_press_feed_host_that_is_silent_over_a_restart_while_probes_succeed(tmp_path):
+    # guards against a job that is forgotten with the life that sent it, or sent again by the next
+    async def work(ground):
+        for name in ("h01", "h02", "h03"):
+            await ground.order(name, {"mute": True})
+        async with Owner.open(ground.net, C1) as owner:
+            keys = [await owner.submit(FEED) for _ in range(4)]
+            await anyio.sleep(0.3)
+            await ground.kill("c1")
+            await ground.start("c1")
+            found = await owner.until(keys, lambda standing: standing.answered, every=True)
+            for name in ("h01", "h02", "h03"):
+                await ground.order(name, {"mute": False})
+        copies = [copy.job.id for name, host in ground.servers.items() if name.startswith("h")
+                  for copy in (*host.model.copies.values(), *host.model.over.values())]
+        assert len(copies) == len(set(copies))
+        return {standing.stage for standing in found}
+
+    assert in_memory(tmp_path, work, habits="setup=0.1 life=50") <= {"placed", "running", "written off"}
+
+
+def test_random_kills_with_hundreds_of_jobs_in_flight(tmp_path):
+    async def work(ground):
+        random, asked = Random(3), {}
+        async with Owner.open(ground.net, C1) as owner:
+            async def load():
+                for number in range(400):
+                    ask = (WEB, MAIL, FEED)[number % 3]
+                    try:
+                        asked[await owner.submit(ask, f"k{number}", within=60.0)] = ask.offering
+                    except TurnedAway:
+                        pass
+                    await anyio.sleep(0.01)
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(load)
+                for _ in range(8):
+                    await anyio.sleep(random.uniform(0.2, 0.8))
+                    await ground.kill("c1")
+                    await anyio.sleep(random.uniform(0.0, 0.3))
+                    await ground.start("c1")
+            found = await owner.until(list(asked), lambda standing: standing.over, every=True)
+            runs = {}
+            for name, host in ground.servers.items():
+                if name.startswith("h"):
+                    for copy in (*host.model.copies.values(), *host.model.over.values()):
+                        if copy.began:
+                            runs[copy.job.id] = runs.get(copy.job.id, 0) + 1
+            for standing in found:
+                if standing.offering == "feed":
+                    assert runs.get(standing.job, 0) <= 1, standing
+                assert standing.stage != "unknown", standing
+        return len(found)
+
+    assert in_memory(tmp_path, work, hosts=20, habits="setup=0.05 life=0.5 look=0.002") >= 390
+
+
+def test_a_bulk_of_ten_thousand_is_taken_once_each(tmp_path):
+    async def work(ground):
+        async with Owner.open(ground.net, C1) as owner:
+            keys = await owner.submit_many([(WEB, f"b.{index}", pb.Work(index=index)) for index in range(10_000)],
+                                           hold=True)
+            assert len(owner.keys()) == 10_000 and owner.standing(keys[-1]).stage == "held"
+        async with Owner.open(ground.net, C1) as again:
+            assert sorted(again.keys()) == sorted(keys)
+            await again.order(keys[0], RELEASE)
+            assert (await again.until_over(keys[0])).stage == "done"
+
+    in_memory(tmp_path, work)
+
+
+def test_a_bulk_that_is_refused_midway_leaves_nothing_behind(tmp_path):
+    async def work(ground):
+        async with Owner.open(ground.net, C1) as owner:
+            with pytest.raises(TurnedAway, match="too many jobs"):
+                await owner.submit_many([(WEB, f"b.{i}", None) for i in range(30)], hold=True, within=2.0)
+            assert not ground.servers["c1"].engine.taken
+
+    in_memory(tmp_path, work, cluster=PAIR.replace("held = 20000", "held = 20"))
+
+
+def test_a_full_journal_turns_jobs_away_and_sees_through_what_is_taken(tmp_path):
+    # guards against a controller that ends, or forgets, because a disk is full
+    async def work(ground):
+        runtime = ground.servers["c1"]
+        async with Owner.open(ground.net, C1) as owner:
+            taken, big = [], pb.Work(command="x" * 20000)
+            with pytest.raises(TurnedAway, match="the journal is full"):
+                for number in range(200):
+                    taken.append(await owner.submit(FEED, work=big, hold=True, within=0.5))
+            assert 20 < len(taken) < 60 and runtime.journal.full
+            for key in taken[:5]:
+                await owner.order(key, RELEASE)
+            found = await owner.until(taken[:5], lambda standing: standing.over, every=True)
+            assert {standing.stage for standing in found} == {"done"}
+            for key in taken[5:]:
+                await owner.order(key, END)
+            for key in taken:
+                await owner.forget(key)
+            await anyio.sleep(3.0)
+            assert (await owner.until_over(await owner.submit(FEED, work=big))).stage == "done"     # it has room again
+
+    in_memory(tmp_path, work, cluster=PAIR + "\njournal {\n most = 1100000\n}\n")
+
+
+def test_keys_guard_sessions_over_the_wire(tmp_path):
+    async def work(ground):
+        school, shop = replace(C1, customer="school"), replace(C1, customer="shop")
+        async with Owner.open(ground.net, school, "one") as mine:
+            key = await mine.submit(replace(FEED, customer="school"), hold=True)
+            with pytest.raises(TurnedAway, match="submits for customer 'school' only"):
+                await mine.submit(replace(FEED, customer="shop"))
+            async with Owner.open(ground.net, shop, "two") as other:     # the same session name, another owner
+                with pytest.raises(NoSuchJob):
+                    await other.find(key, 0.1)
+        for contact, token in ((school, "two"), (C1, "")):
+            with pytest.raises(OwnerFault, match="key"):
+                async with Owner.open(ground.net, contact, token, within=1.0):
+                    pass
+
+    cluster = PAIR + "".join(f'customer "{name}" {{\n key = "{hash_of(token)}"\n}}\n'
+                             for name, token in (("school", "one"), ("shop", "two"))) + "clients {\n keys_needed = true\n}\n"
+    in_memory(tmp_path, work, cluster=cluster)
