--- a/linedeal/audit/rules.py
+++ b/linedeal/audit/rules.py
@@ -8,6 +8,7 @@
 from linedeal.protocol import pb
 from linedeal.settings.cluster import Cluster
 
+SESSION_AGAIN = 2.5     # seconds after a session's new link for what was settled meanwhile: a new life's patience is in it
 JITTER = 0.15       # seconds by which links may differ in when the recorder sees one moment of a controller
 RULES = {1: "every job taken is answered once, in time, and nothing is sent after",
          2: "no effect twice, one launch out at a time",
@@ -62,22 +63,46 @@
 def answered_once(traffic, cluster, job: JobSeen):
     offering = offering_of(cluster, job)
     wait = min(job.wait or offering.expiry, offering.expiry)
-    due = stood_until(traffic, job.controller, job.taken + wait) + cluster.rules.answer_slack
-    gone = min(killed(traffic, job.controller, job.taken), job.left)
-    if not job.answers:
+    begun = max([job.taken] + [since for _, since in job.shifts])
+    due = stood_until(traffic, job.controller, begun + wait) + cluster.rules.answer_slack
+    if job.session:
+        # neither a kill nor a broken link excuses it; it can be told once the controller stands and a link does
+        due, gone = told_by(traffic, job, due), NEVER if not job.aside else 0.0
+    else:
+        gone = min(killed(traffic, job.controller, job.taken), job.left)
+    said = sorted(job.answers + job.told)
+    if not said:
         if gone > due and traffic.end > due:
             yield Breach(1, due, f"{job.id} ({job.offering}) was taken at {job.taken:.3f} and never answered")
         return
-    first = job.answers[0][0]
+    first = said[0][0]
     if first > due:
         yield Breach(1, first, f"{job.id} ({job.offering}) was answered {first - due:.3f} s past its time and slack")
-    if len(job.answers) > 1:
+    if not job.session and len(job.answers) > 1:
         yield Breach(1, job.answers[1][0], f"{job.id} ({job.offering}) was answered {len(job.answers)} times")
+    # a session asks again after a break, and is told the same answer again: never another
+    for t, verdict in said:
+        if verdict != said[0][1]:
+            yield Breach(1, t, f"{job.id} ({job.offering}) was answered {pb.Verdict.Name(said[0][1])} and then "
+                               f"{pb.Verdict.Name(verdict)}")
+            break
     for launch in job.launches:
         if launch.t > first:
             yield Breach(1, launch.t, f"{job.id} was sent to {launch.host} {launch.t - first:.3f} s after its answer")
 
 
+def told_by(traffic: Traffic, job: JobSeen, due: float) -> float:
+    """When the answer has to have been told: at `due`, or soon after a link of its session stands again."""
+    end = NEVER
+    for opened, ended, _ in traffic.sessions.get((job.controller, job.session), ()):
+        if opened <= due <= ended - SESSION_AGAIN:
+            # a link that stands: what was lost with an earlier one is told as this one begins
+            end = min(end, max(due, opened + SESSION_AGAIN))
+        elif opened > due and ended > opened + SESSION_AGAIN:
+            end = min(end, opened + SESSION_AGAIN)
+    return end
+
+
 # -- rule 2
 
 def no_effect_twice(traffic, cluster, job: JobSeen):
@@ -102,7 +127,7 @@
         elif launch.t > first.t + offering.window + JITTER:
             yield Breach(2, launch.t, f"{job.id} (labelled) was sent again {launch.t - first.t:.3f} s after a launch "
                                       f"that may have run, past its window")
-    for t, verdict in job.answers:
+    for t, verdict in job.answers + job.told[:1]:
         may_have_run = [launch for launch in job.launches if launch.never_ran > t]
         harmless = offering.effect is Effect.REDOABLE or (
             offering.effect is Effect.LABELLED and offering.group is Place.ALL)
--- a/linedeal/audit/traffic.py
+++ b/linedeal/audit/traffic.py
@@ -52,6 +52,11 @@
     wait: float
     answers: list[tuple[float, int]] = field(default_factory=list)
     left: float = NEVER
+    session: str = ""
+    told: list[tuple[float, int]] = field(default_factory=list)     # verdicts shown by its standing
+    shifts: list[tuple[float, float]] = field(default_factory=list)     # its time to find a host began anew, at
+    over: bool = False          # its owner has let go of it: the key is free
+    aside: bool = False         # held, or its start time has not come
     launches: list[LaunchSeen] = field(default_factory=list)
 
 
@@ -69,6 +74,7 @@
     forth: FrameReader = field(default_factory=FrameReader)
     back: FrameReader = field(default_factory=FrameReader)
     hello: object = None
+    opened: float = 0.0
     boot: int = 0
     asks: dict[str, object] = field(default_factory=dict)
     launches: list[LaunchSeen] = field(default_factory=list)
@@ -82,6 +88,7 @@
     jobs: dict[str, JobSeen] = field(default_factory=dict)
     launches: dict[tuple, LaunchSeen] = field(default_factory=dict)
     told: dict[tuple, Told] = field(default_factory=dict)       # by controller, life, host
+    sessions: dict[tuple[str, str], list[list[float]]] = field(default_factory=dict)    # links of a controller's session
     places: dict[str, tuple[str, int]] = field(default_factory=dict)    # zone and cell, by host
     booted: dict[tuple[str, int], float] = field(default_factory=dict)  # by host and boot
     marks: list[tuple[float, str, str]] = field(default_factory=list)
@@ -109,6 +116,7 @@
     def __init__(self):
         self.traffic = Traffic()
         self.links: dict[int, LinkSeen] = {}
+        self.keys: dict[tuple[str, str, str], str] = {}      # job by controller, session and key
         self.life_hosts: dict[tuple, set[str]] = {}
 
     def take(self, entry: Entry) -> None:
@@ -116,7 +124,7 @@
         if entry.e == "mark":
             self.traffic.marks.append((entry.t, entry.what, entry.who))
         elif entry.e == "open":
-            self.links[entry.link] = LinkSeen(entry.to)
+            self.links[entry.link] = LinkSeen(entry.to, opened=entry.t)
         elif entry.e == "end":
             self.ended(entry.t, self.links[entry.link])
         else:
@@ -135,13 +143,22 @@
     def ended(self, t, link) -> None:
         for launch in link.launches:
             launch.link_end = min(launch.link_end, t)
-        for job in self.traffic.jobs.values() if link.hello and link.hello.role == pb.CLIENT else ():
+        if link.hello is None or link.hello.role != pb.CLIENT:
+            return
+        if link.hello.session:      # its jobs go on; while no link stands nothing can be told
+            for span in self.traffic.sessions.get((link.to, link.hello.session), ()):
+                if span[2] == id(link):
+                    span[1] = min(span[1], t)
+            return
+        for job in self.traffic.jobs.values():
             if job.link == id(link):
                 job.left = min(job.left, t)
 
     def message(self, entry, link, message) -> None:
         if isinstance(message, pb.Hello) and entry.d == ">":
             link.hello = message
+            if message.role == pb.CLIENT and message.session:
+                self.traffic.sessions.setdefault((link.to, message.session), []).append([entry.t, NEVER, id(link)])
         elif link.hello is not None:
             handler = HANDLERS.get((link.hello.role, entry.d, type(message)))
             if handler is not None:
@@ -153,12 +170,40 @@
         link.asks[message.key] = message
 
     def taken(self, entry, link, message) -> None:
-        ask = link.asks[message.key]
-        if message.job in self.traffic.jobs:
-            self.traffic.doubled.append((entry.t, 1, f"{message.job} was taken twice"))
-        self.traffic.jobs[message.job] = JobSeen(
+        ask, known = link.asks[message.key], self.traffic.jobs.get(message.job)
+        if known is not None:
+            if not known.session or (known.session, known.key) != (link.hello.session, message.key):
+                self.traffic.doubled.append((entry.t, 1, f"{message.job} was taken twice"))
+            return      # joined by its own session and key
+        other = self.keys.get((link.to, link.hello.session, message.key)) if link.hello.session else None
+        if other is not None and not self.traffic.jobs[other].over:
+            self.traffic.doubled.append((entry.t, 1, f"key {message.key} of session {link.hello.session} was taken as "
+                                                     f"{other} and as {message.job}"))
+        self.keys[link.to, link.hello.session, message.key] = message.job
+        job = self.traffic.jobs[message.job] = JobSeen(
             message.job, link.to, ask.job.offering, ask.job.customer, ask.job.cores, message.key, id(link), entry.t,
-            ask.wait)
+            ask.wait, session=link.hello.session, aside=ask.hold)
+        if ask.start_in:
+            job.shifts.append((entry.t, entry.t + ask.start_in))
+
+    def standing(self, entry, link, message) -> None:
+        job = self.traffic.jobs.get(message.job.id)
+        if job is not None and message.stage in STAGE_VERDICTS:
+            job.told.append((entry.t, STAGE_VERDICTS[message.stage]))
+
+    def ordered(self, entry, link, message) -> None:
+        job = self.traffic.jobs.get(self.keys.get((link.to, link.hello.session, message.key), ""))
+        if job is not None and message.fault == pb.FAULT_NONE:
+            if message.kind == pb.HOLD:
+                job.aside = True
+            elif message.kind == pb.RELEASE:
+                job.aside = False
+                job.shifts.append((entry.t, entry.t))
+
+    def forget(self, entry, link, message) -> None:
+        job = self.traffic.jobs.get(self.keys.get((link.to, link.hello.session, message.key), ""))
+        if job is not None:
+            job.over = True
 
     def turned_away(self, entry, link, message) -> None:
         self.traffic.turned_away += 1
@@ -207,7 +252,9 @@
             if item is None and launch.link != entry.link:
                 if message.boot != launch.boot:
                     launch.lost = min(launch.lost, entry.t)
-                elif not message.forgot and launch.life == life:
+                elif not message.forgot and launch.life <= life:
+                    # a host gives its account to a life after it has taken that life's number: what an earlier one
+                    # sent and it does not name, it never held
                     launch.absent = min(launch.absent, entry.t)
             elif item is not None and item.phase == pb.OVER:
                 launch.ended, launch.outcome = min(launch.ended, entry.t), item.outcome
@@ -239,6 +286,11 @@
                 self.traffic.told[name, life, host].modes.append((entry.t, pb.GONE))
 
 
+AT_HOST = (pb.STAGE_PLACED, pb.STAGE_RUNNING, pb.STAGE_DONE, pb.STAGE_ERROR, pb.STAGE_LOST, pb.STAGE_STOPPED)
+STAGE_VERDICTS = {pb.STAGE_REJECTED: pb.REJECTED, pb.STAGE_WRITTEN_OFF: pb.WRITTEN_OFF,
+                  **dict.fromkeys(AT_HOST, pb.PLACED)}
+
+
 def said(what):
     """A handler that notes when a host, or the controller itself, first said that of a launch."""
 
@@ -256,7 +308,9 @@
 HANDLERS = {
     (pb.CLIENT, ">", pb.Submit): Reader.submit, (pb.CLIENT, "<", pb.Taken): Reader.taken,
     (pb.CLIENT, "<", pb.TurnedAway): Reader.turned_away, (pb.CLIENT, "<", pb.Answer): Reader.answer,
-    (pb.CLIENT, ">", pb.TakeBack): Reader.take_back,
+    (pb.CLIENT, ">", pb.TakeBack): Reader.take_back, (pb.CLIENT, "<", pb.Standing): Reader.standing,
+    (pb.CLIENT, "<", pb.Ordered): Reader.ordered, (pb.CLIENT, ">", pb.Forget): Reader.forget,
+    (pb.CLIENT, ">", pb.AnswerSeen): Reader.forget,
     (pb.CONTROLLER, ">", pb.Offer): Reader.offer, (pb.CONTROLLER, "<", pb.Welcome): Reader.welcome,
     (pb.CONTROLLER, "<", pb.HostList): Reader.host_list, (pb.CONTROLLER, "<", pb.Use): Reader.use,
     (pb.CONTROLLER, "<", pb.Accepted): said("accepted"),
--- a/linedeal/lab/day.py
+++ b/linedeal/lab/day.py
@@ -41,6 +41,7 @@
     memory: tuple[float, float]
     services: int
     customers: tuple[str, ...]
+    sessions: bool = False      # owners ask in sessions, which outlive links and controllers
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,10 +158,12 @@
                 self.hosts.append(HostSpec(f"h{i + 1:02}", after(rest, "kind")[0], zones[i % len(zones)], i // cell,
                                            Habits(**{**self.habits, **own})))
         elif name == "load":
-            figures = dict(word.split("=") for word in rest[2:])
+            sessions = "sessions" in rest[2:]
+            figures = dict(word.split("=") for word in rest[2:] if word != "sessions")
             self.streams.append(Stream(
                 rest[0], float(rest[1]), span(figures.pop("cores", "1-2")), span(figures.pop("memory", "1-4")),
-                int(figures.pop("services", "4")), tuple(figures.pop("customers", "").split(","))))
+                int(figures.pop("services", "4")), tuple(figures.pop("customers", "").split(",")),
+                sessions))
             if figures:
                 raise ValueError(f"unknown figure {next(iter(figures))}")
         elif name == "at":
--- a/linedeal/lab/load.py
+++ b/linedeal/lab/load.py
@@ -1,11 +1,14 @@
 """The owners of jobs: they submit, wait, and ask again where that is safe."""
 
+import zlib
 from dataclasses import dataclass, field
 from random import Random
 
 import anyio
 
 from linedeal.client import Client, ClientLost, JobAsk, TurnedAway
+from linedeal.client.contact import Contact
+from linedeal.client.owner import Owner
 from linedeal.interface import Effect
 from linedeal.lab.day import Day, Stream
 from linedeal.net import Net
@@ -32,6 +35,7 @@
         self.day, self.net, self.addresses, self.tally = day, net, addresses, tally
         self.random = Random(day.seed * 1000 + 1)
         self.links: dict[str, Client] = {}
+        self.owners: list[Owner] = []           # of sessions, one that begins at each controller
         self.factor = 1.0                       # a burst
         self.heavy: dict[str, float] = {}       # offering: times the usual size
         self.open = 0
@@ -40,8 +44,10 @@
         """Asks for the length of the day, then waits until all is answered."""
         self.ends = anyio.current_time() + self.day.length
         async with anyio.create_task_group() as links:
-            for name in self.addresses:
+            for place, name in enumerate(self.addresses):
                 links.start_soon(self.keep_link, name)
+                if any(stream.sessions for stream in self.day.streams):
+                    await links.start(self.keep_session, place)
             async with anyio.create_task_group() as jobs:
                 for number, stream in enumerate(self.day.streams):
                     jobs.start_soon(self.flow, jobs, stream, Random(self.day.seed * 1000 + 100 + number))
@@ -61,6 +67,14 @@
                 self.links.pop(name, None)
             await anyio.sleep(0.1)
 
+    async def keep_session(self, place: int, *, task_status) -> None:
+        places, name = list(self.addresses.values()), f"owners-{place}"
+        first = (place - zlib.crc32(name.encode())) % len(places)      # the owner turns them by its session's name
+        async with Owner.open(self.net, Contact(tuple(places[first:] + places[:first]), name), within=10.0) as owner:
+            self.owners.append(owner)
+            task_status.started()
+            await anyio.sleep_forever()
+
     async def flow(self, jobs, stream: Stream, random: Random) -> None:
         at = anyio.current_time()
         while True:
@@ -73,7 +87,23 @@
                          f"{stream.offering}-{random.randrange(stream.services)}",
                          round(random.uniform(*stream.cores) * size, 2),
                          round(random.uniform(*stream.memory) * size, 2))
-            jobs.start_soon(self.own, ask, Random(random.random()))
+            jobs.start_soon(self.own_in_session if stream.sessions else self.own, ask, Random(random.random()))
+
+    async def own_in_session(self, ask: JobAsk, random: Random) -> None:
+        """One job whose owner waits for its answer whatever becomes of links and controllers, then lets it run."""
+        self.tally.asked[ask.offering] = self.tally.asked.get(ask.offering, 0) + 1
+        owner, expiry = random.choice(self.owners), self.day.cluster.settings.offerings[ask.offering].expiry
+        end = "no answer"
+        try:
+            with anyio.move_on_after(expiry + 3 * PATIENCE):
+                key = await owner.submit(ask, within=expiry)
+                (standing,) = await owner.until([key], lambda standing: standing.answered)
+                end = standing.stage if standing.stage in ("rejected", "written off", "refused", "unknown") else "placed"
+        except TurnedAway:
+            end = "turned away"
+        except TimeoutError:
+            end = "no controller"
+        self.tally.count(ask.offering, end)
 
     async def own(self, ask: JobAsk, random: Random) -> None:
         """One job, from its first ask to where its owner leaves it."""
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -321,3 +321,92 @@
     traffic = gather(s.r.entries)
     assert report.earned(traffic, day, {"web": 2}) == pytest.approx((10 + 4 + 5) / (2 * 14))
     assert report.earned(traffic, day, {"web": 4}) == pytest.approx((10 + 4 + 5) / (4 * 14))
+
+
+# sessions
+
+class Session(Script):
+    """The front's link belongs to a session."""
+
+    def open(self, to, role, name, t, life=1, number=1):
+        if role != pb.CLIENT:
+            return super().open(to, role, name, t, life, number)
+        link = self.r.opened(t, to)
+        self.r.data(t, link, ">", encode(pb.Hello(version=1, role=role, name=name, session="s")))
+        return link
+
+    def standing(self, t, spec, stage):
+        self.back(t, self.front, pb.Standing(key=spec.id[4:], job=spec, stage=stage))
+
+    def reopen(self, lost, t):
+        self.r.ended(lost, self.front, "<")
+        self.front = self.open("c", pb.CLIENT, "owners", t)
+
+
+def test_a_sessions_job_may_be_joined_and_told_again():
+    s = Session()
+    job = s.job(1.0)
+    s.answer(2.0, job)
+    s.reopen(2.5, 3.0)
+    s.job(3.1)
+    s.answer(3.1, job)
+    s.standing(3.2, job, pb.STAGE_RUNNING)
+    assert s.broken() == set()
+
+
+def test_a_sessions_job_is_told_another_answer():
+    s = Session()
+    job = s.job(1.0)
+    s.answer(2.0, job)
+    s.standing(3.0, job, pb.STAGE_REJECTED)
+    assert s.broken() == {(1, 3.0)}
+
+
+def test_one_key_of_a_session_becomes_two_jobs():
+    s = Session()
+    s.answer(1.5, s.job(1.0))
+    spec = pb.JobSpec(offering="web", service="s", cores=1.0, memory=1.0)
+    s.forth(2.0, s.front, pb.Submit(key="k", job=spec))
+    s.back(2.0, s.front, pb.Taken(key="k", job="c.2.9"))
+    s.back(2.1, s.front, pb.Answer(key="k", job="c.2.9", verdict=pb.PLACED))
+    assert s.broken() == {(1, 2.0)}
+
+
+@pytest.mark.parametrize("again", [3.0, 12.0])
+def test_neither_kill_nor_broken_link_excuses_a_session_from_its_answer(again):
+    s = Session()
+    s.job(1.0)
+    s.r.mark(1.5, "kill", "c")
+    s.reopen(1.5, again)
+    assert s.broken() == {(1, max(7.5, again + 2.5))}
+
+
+def test_while_no_link_of_the_session_stands_nothing_can_be_told():
+    s = Session()
+    s.job(1.0)
+    s.r.ended(1.5, s.front, "<")
+    assert s.broken() == set()
+
+
+def test_a_held_jobs_time_begins_with_its_release():
+    s = Session()
+    s.forth(1.0, s.front, pb.Submit(key="k", job=pb.JobSpec(offering="web", service="s"), hold=True))
+    s.back(1.0, s.front, pb.Taken(key="k", job="c.1.k"))
+    s.back(20.0, s.front, pb.Ordered(key="k", kind=pb.RELEASE))
+    assert s.broken() == {(1, 26.5)}
+
+
+def test_a_later_lifes_welcome_proves_that_a_launch_never_ran():
+    for named, found in ((False, set()), (True, {(2, 5.0)})):
+        s = Session()
+        job = s.job(1.0, "feed")
+        s.offer(1.0, job, "a")
+        s.r.mark(1.5, "kill", "c")
+        s.end(1.5, "a")
+        held = [pb.Held(launch=pb.LaunchId(controller="c", life=1, number=1), job=job, phase=pb.RUNNING)] if named else []
+        s.link("a", 3.0, life=2, held=held)
+        s.link("b", 3.0, life=2)
+        said = s.offer(5.0, job, "b", life=2)
+        said(5.1, pb.Accepted)
+        s.answer(5.1, job)
+        assert s.broken() == found
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -7,7 +7,7 @@
 from linedeal.engine import Engine
 from linedeal.engine import effects as do
 from linedeal.engine.engine import BrokenPromise
-from linedeal.engine import launches
+from linedeal.engine import launches, recovery
 from linedeal.engine.launches import State
 from linedeal.interface import Mode, Result
 from linedeal.lab.day import parse_day, read_day
@@ -224,3 +224,44 @@
 
 def test_the_example_day_can_be_read():
     assert len(read_day("examples/bad-day.day").orders) > 15
+
+
+SESSIONS = SET.replace("services=6", "services=6 sessions").replace("services=3", "services=3 sessions")
+KILLS = ["at 2 mute h01,h02 for 3", "at 3 kill controllers for 1", "at 6 kill c1 for 1", "at 6.4 kill h03 for 1"]
+
+
+def session_day(tmp_path, *orders):
+    (tmp_path / "cluster.hcl").write_text(CLUSTER)
+    return parse_day(SESSIONS + "\n".join(orders), "test.day", tmp_path)
+
+
+def test_sessions_jobs_are_answered_over_kills(tmp_path):
+    traffic, breaches, tally = played(session_day(tmp_path, *KILLS))
+    assert not breaches
+    assert all(job.session and (job.answers or job.told) for job in traffic.jobs.values()) and len(traffic.jobs) > 50
+    assert not any(end in ("no answer", "unknown") for ends in tally.ends.values() for end in ends)
+
+
+class Forgetful(runtime.Runtime):
+    """Does not read its journal."""
+
+    def recover(self):
+        self.engine.recover((), ())
+
+
+def test_a_controller_that_forgets_its_journal_is_caught(tmp_path):
+    from linedeal.lab.inprocess import Stallable
+
+    class Both(Forgetful, Stallable):
+        pass
+
+    assert 1 in broken_rules(played(session_day(tmp_path, *KILLS), runtime=Both)[1])
+
+
+def test_a_recovery_that_takes_silence_for_proof_is_caught(tmp_path, monkeypatch):
+    # guards against a second effect: a launch of an earlier life is out until its host has spoken
+    day = session_day(tmp_path, "at 1 slow hosts 1.5 for 8", "at 3 kill controllers for 0.2", "at 3 kill hosts for 4",
+                      "at 5 kill controllers for 0.2")
+    assert not played(day)[1]
+    monkeypatch.setattr(recovery, "ran", lambda launch, accounts: False)
+    assert 2 in broken_rules(played(day)[1])
