--- a/linedeal/engine/asking.py
+++ b/linedeal/engine/asking.py
@@ -18,9 +18,11 @@
         self.waiting: list[str] = []
         self.due = 0.0
 
-    def add(self, hosts: list[str]) -> None:
+    def add(self, hosts: list[str], first: frozenset[str] = frozenset()) -> None:
+        """`first`: those that owners wait for are asked before the others."""
         self.waiting += hosts
         self.random.shuffle(self.waiting)
+        self.waiting.sort(key=lambda host: host in first)       # taken from the end
 
     def take(self, now: float) -> list[str]:
         """Those to ask now."""
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -26,6 +26,7 @@
 
 STRAY_KEPT = 60.0       # seconds for which a launch that was given up is remembered, for a late yes
 STALL_SEEN = 0.25       # a timer this late tells that this process stood still, not that hosts were silent
+RETURN_MOST = 50        # jobs of an earlier life that go back to the module in one turn
 NEVER_RAN = (Result.UNREACHABLE, Result.UNSENT, Result.TURNED_AWAY)
 BREATH = 0.05           # what came in meanwhile is read for so long before launches are given up
 
@@ -45,6 +46,7 @@
     work: bytes = b""
     left: float = 0.0           # seconds to wait for a host, while it is held or its start time has not come
     held_since: float = 0.0
+    returning: bool = False     # on its way back to the module after a restart
     risk: tuple[str, float] | None = None       # host and time of its first launch that may have run
 
     @property
@@ -69,6 +71,8 @@
         self.sessions = Sessions(self)
         self.full = False           # the journal has room for what is taken only
         self.pending: dict[str, recovery.OpenJob] = {}      # of an earlier life, not settled yet
+        self.pending_at: dict[str, list[str]] = {}          # ... by the hosts of their launches
+        self.returning: deque[str] = deque()                # go back to the module, some a turn
         self.accounts: dict[str, recovery.Account] = {}
         self.begun = now
         self.clients: dict[int, set[str]] = {}
@@ -452,7 +456,8 @@
                 self.stop(launch)       # the order may have been lost with the link before
         for item in held.values():
             self.found(record, item)
-        self.settle_pending()
+        for job_id in self.pending_at.pop(event.host, ()):
+            self.settle(job_id)
         self.sessions.accounted(event.host)
 
     def learn(self, launch: Launch, finding: launches.Finding | None) -> None:
@@ -540,10 +545,11 @@
         if event.remembered or event.whole:
             self.ready = True
         self.lose_gone()
-        self.settle_pending()
-        if event.whole or event.remembered:
+        if event.remembered or event.whole:
+            self.settle_pending()       # hosts may be known, or gone, by now
             self.asking.add([h.id for h in event.hosts if h.mode is not Mode.GONE
-                             and not self.fleet.hosts[h.id].asked and h.id not in self.asking.waiting])
+                             and not self.fleet.hosts[h.id].asked and h.id not in self.asking.waiting],
+                            frozenset(self.pending_at))
 
     def lose_gone(self) -> None:
         """A host that is gone for good answers nothing more: what was held there is lost, and is told so."""
@@ -572,6 +578,8 @@
             if entry.stage is not Stage.WAITING:
                 continue        # never launched, or every launch known not to have run: it could not be held else
             self.pending[record.id] = job
+            for host in {launch.host: None for launch in job.launches}:
+                self.pending_at.setdefault(host, []).append(record.id)
             self.timers.arm(max(self.now, record.expiry - recovery.SETTLE_BEFORE), "settle", record.id)
         if left_open:
             self.timers.arm(self.now + recovery.PATIENCE, "settle", "")
@@ -603,7 +611,10 @@
             first = recovery.risk(job, self.accounts)
             if first is not None and offering.effect is not Effect.REDOABLE:
                 taken.risk = first.host, self.begun - first.sent_ago
-            self.tell(api.JobArrived(taken.job, taken.risk))
+            taken.returning = True
+            self.returning.append(job_id)
+            if len(self.returning) == 1:
+                self.timers.arm(self.now, "return", "")
             return
         host, held = recovery.placed_at(job, self.accounts) or ("", None)
         self.answer(job_id, VERDICTS[step], host, held.launch if held else None)
@@ -612,6 +623,16 @@
         elif held is not None and held.phase is on.Phase.RUNNING:
             self.sessions.started(job_id, held.launch)
 
+    def return_due(self, _) -> None:
+        """Back to the module, a few a turn: thousands at once would keep links and owners waiting for seconds."""
+        for _ in range(min(len(self.returning), RETURN_MOST)):
+            taken = self.taken.get(self.returning.popleft())
+            if taken is not None and taken.returning:
+                taken.returning = False
+                self.tell(api.JobArrived(taken.job, taken.risk))
+        if self.returning:
+            self.timers.arm(self.now, "return", "")
+
     # -- timers
 
     def module_due(self, key: str) -> None:
@@ -637,7 +658,7 @@
 RINGERS = {
     "module": Engine.module_due, "launch": Engine.launch_due, "stray": Engine.stray_due, "probe": Engine.probe_due,
     "launch at last": Engine.launch_due, "probe at last": Engine.probe_due, "asking": Engine.asking_due,
-    "relink": Engine.relink_due, "settle": Engine.settle_due,
+    "relink": Engine.relink_due, "return": Engine.return_due, "settle": Engine.settle_due,
     "forget": lambda engine, key: engine.sessions.forget_due(key),
     "later": lambda engine, job: engine.sessions.later_due(job),
     "held too long": lambda engine, job: engine.sessions.held_too_long(job),
--- a/linedeal/engine/sessions.py
+++ b/linedeal/engine/sessions.py
@@ -120,9 +120,9 @@
         engine, taken = self.engine, self.engine.taken[entry.job.id]
         if entry.stage is not Stage.LATER:
             taken.left = max(0.0, entry.job.expiry - engine.now)
-            if entry.job.id not in engine.pending:
+            if engine.pending.pop(entry.job.id, None) is None and not taken.returning:
                 engine.tell(api.Withdrawn(entry.job.id))
-            engine.pending.pop(entry.job.id, None)
+            taken.returning = False
         entry.stage, taken.held_since = Stage.HELD, engine.now
         self.set_aside(entry, taken.left)
         engine.out.append(do.KeepHold(entry.job.id, True, taken.left, 0.0))
@@ -144,7 +144,7 @@
         if launch is not None:
             launch.wanted = False
             engine.stop(launch)
-        known = waits and engine.pending.pop(job_id, None) is None
+        known = waits and engine.pending.pop(job_id, None) is None and not engine.taken[job_id].returning
         engine.answer(job_id, do.Verdict.REJECTED if move is Move.REJECT else do.Verdict.WRITTEN_OFF)
         if known:
             engine.tell(api.Withdrawn(job_id))
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -515,3 +515,24 @@
     cluster = PAIR + "".join(f'customer "{name}" {{\n key = "{hash_of(token)}"\n}}\n'
                              for name, token in (("school", "one"), ("shop", "two"))) + "clients {\n keys_needed = true\n}\n"
     in_memory(tmp_path, work, cluster=cluster)
+
+
+def test_thousands_of_jobs_go_back_to_the_module_some_a_turn():
+    # guards against a start that answers nobody, and lets its links break, while the module takes them all in
+    d = recovered(open_jobs=[OpenJob("s", f"k{n}", replace(JOB, id=f"c.1.{n}", offering="web"), 5.0, follow=True)
+                             for n in range(200)])
+    d.list(list(d.engine.fleet.hosts), 0.1)
+    first = len(d.engine.module.waiting) + len(d.engine.by_job)
+    assert 0 < first <= 50 and d.engine.next_due() <= 0.1
+    order(d, 0.1, "HOLD", "k199")       # while it is on its way back
+    d.rest(0.2)
+    assert len(d.engine.module.tracks) >= 195 and "c.1.199" not in d.engine.module.tracks
+    order(d, 0.3, "RELEASE", "k199")
+    assert "c.1.199" in d.engine.module.tracks
+
+
+def test_hosts_that_owners_wait_for_are_asked_first():
+    d = recovered(open_jobs=[OpenJob("s", "k", JOB, 5.0, (OldLaunch(on.LaunchId(1, 4), "h29", 1),))])
+    d.engine.asking.waiting.clear()
+    asked = d.only(do.OpenLink, d.list([f"h{n:02}" for n in range(30)], 0.1))
+    assert asked[0].host == "h29"
