--- a/linedeal/state/journal.py
+++ b/linedeal/state/journal.py
@@ -168,7 +168,13 @@
     def read(self, at: float, longest: float, doubt: bool = False) -> Found:
         """What earlier lives left. `longest`: seconds that any job may wait, which bounds what a clock that jumped can
         do; `doubt`: it has jumped, so that no launch's time is believed. Raises StoreFault for a record that does not
-        match its checksum."""
+        match its checksum, or cannot be read at all."""
+        try:
+            return self.found(at, longest, doubt)
+        except (sqlite3.Error, msgspec.MsgspecError, TypeError) as error:
+            raise StoreFault(f"{self.store.path}: damaged: {error}") from None
+
+    def found(self, at: float, longest: float, doubt: bool) -> Found:
         launches: dict[str, list[OldLaunch]] = {}
         for life, number, job, host, boot, sent, void in self.db.execute(
                 "SELECT life, number, job, host, boot, sent, void FROM launches ORDER BY life, number").fetchall():
--- a/linedeal/state/store.py
+++ b/linedeal/state/store.py
@@ -23,6 +23,15 @@
     """Open it once a process; `close` it, or die: both leave it whole."""
 
     def __init__(self, directory: str | Path):
+        self.db = None
+        try:
+            self.open(directory)
+        except StoreFault:
+            if self.db is not None:
+                self.db.close()     # its lock, and an upgrade that was cut short, go with it
+            raise
+
+    def open(self, directory) -> None:
         path = Path(directory) / "controller.db"
         self.path = path
         try:
--- a/tests/test_store_and_settings.py
+++ b/tests/test_store_and_settings.py
@@ -1,15 +1,21 @@
 """What lies on disk, and what is read at the start."""
 
 import sqlite3
+import zlib
 
+import msgspec
 import pytest
 
+from linedeal import interface as api
 from linedeal.cli import app
+from linedeal.engine import effects as do
 from linedeal.engine.events import ListedHost
 from linedeal.interface import Effect, Mode, Place
 from linedeal.lab.day import DayFault, parse_day
 from linedeal.settings.cluster import ConfigFault, parse_cluster, read_cluster
-from linedeal.state import Store, StoreFault
+from linedeal.state import Store, StoreFault, steady, upgrade
+from linedeal.state.journal import Journal
+from tests.drive import CLUSTER as PLAIN
 
 HOST = ListedHost("h1", ("x:1",), "std", "z", 3, Mode.SERVING, 5, 100.0, 2.5, None)
 
@@ -167,3 +173,99 @@
     result = CliRunner().invoke(app, ["check-config", str(bad)])
     assert result.exit_code == 1
     assert result.output.splitlines()[0] == f"{bad}: cluster: controllers is missing"
+
+
+# the journal's format and clock
+
+OLD_TABLES = """
+CREATE TABLE jobs (id TEXT PRIMARY KEY, session TEXT, key TEXT, job BLOB, sum INTEGER, expires REAL,
+    verdict TEXT, host TEXT, answered REAL) STRICT;
+CREATE TABLE launches (life INTEGER, number INTEGER, job TEXT, host TEXT, boot INTEGER, sent REAL,
+    void INTEGER, PRIMARY KEY (life, number)) STRICT, WITHOUT ROWID;
+"""
+
+
+def old_store(directory):
+    """As format 1 left it: a job that is owed an answer, with a launch, and one that was answered."""
+    store = Store(directory)
+    for statement in OLD_TABLES.split(";"):
+        store.db.execute(statement)
+    for number, verdict in ((1, None), (2, "placed")):
+        job = msgspec.msgpack.encode(api.Job(f"c.1.{number}", "feed", "", "s", 1.0, 1.0, 9.0))
+        store.db.execute("INSERT INTO jobs VALUES (?, 's', ?, ?, ?, 106.0, ?, 'a', ?)",
+                         (f"c.1.{number}", f"k{number}", job, zlib.crc32(job), verdict, 101.0 if verdict else None))
+    store.db.execute("INSERT INTO launches VALUES (1, 7, 'c.1.1', 'a', 5, 100.0, 0)")
+    store.put("format", 1)
+    store.close()
+
+
+def test_a_store_of_the_format_before_is_brought_up(tmp_path):
+    # guards against an upgrade that forgets what is owed
+    old_store(tmp_path)
+    for _ in range(2):      # and once only
+        store = Store(tmp_path)
+        found = Journal(store).read(102.0, 60.0)
+        assert [(job.key, job.expires_in, job.launches[0].sent_ago) for job in found.open] == [("k1", 4.0, 2.0)]
+        assert [(kept.key, kept.stage, kept.host, kept.follow) for kept in found.answers] == [("k2", "PLACED", "a", False)]
+        assert store.get("format", int) == upgrade.FORMAT
+        store.close()
+
+
+def test_an_upgrade_that_is_cut_short_leaves_the_format_before(tmp_path, monkeypatch):
+    old_store(tmp_path)
+    monkeypatch.setitem(upgrade.STEPS, 1, (*upgrade.STEPS[1], "SELECT 1 FROM nowhere"))
+    with pytest.raises(StoreFault, match="cannot be brought from format 1 to 2: no such table"):
+        Store(tmp_path)
+    monkeypatch.undo()
+    store = Store(tmp_path)
+    assert len(Journal(store).read(102.0, 60.0).open) == 1
+    store.close()
+
+
+def test_a_torn_page_is_a_plain_message(tmp_path):
+    store = Store(tmp_path)
+    journal = Journal(store, spare=1 << 16)
+    journal.write(1.0, 1, [do.Take(1, f"k{n}", f"c.1.{n}", "s", api.Job(f"c.1.{n}", "feed", "", "s", 1.0, 1.0, 9.0), 6.0)
+                           for n in range(300)])
+    store.db.execute("PRAGMA wal_checkpoint(TRUNCATE)")
+    store.close()
+    whole = (tmp_path / "controller.db").read_bytes()
+    for at in range(4096, len(whole), 4096):        # each page but the first, torn in its middle or from its start
+        for begin in (0, 2048):
+            (tmp_path / "controller.db").write_bytes(whole[:at + begin] + b"\xff" * 2048 + whole[at + begin + 2048:])
+            store = None
+            try:
+                store = Store(tmp_path)
+                found = Journal(store, spare=1 << 16).read(2.0, 60.0)
+                assert len(found.open) == 300      # what was torn held nothing
+            except StoreFault as error:
+                assert "controller.db: " in str(error) and "\n" not in str(error)
+            finally:
+                if store is not None:
+                    store.close()
+
+
+def test_the_journals_clock_goes_on_over_lives_and_jumps(tmp_path):
+    first = steady.go_on(None, "m", 500.0, 10_000.0, 0.0)
+    store = Store(tmp_path)
+    store.keep_clock(first.base)
+    journal = Journal(store, spare=1 << 16)
+    job = api.Job("c.1.1", "mail", "", "s", 1.0, 1.0, 9.0)
+    journal.write(first.at(500.0), 1, [do.Take(1, "k", job.id, "s", job, 60.0),
+                                       do.SendLaunch("a", 1, job, 3.0, 5, True)])
+    assert journal.last_written() == 10_000.0
+    for machine, monotonic, time_of_day, ago in (
+            ("m", 502.0, 10_002.0, 2.0), ("m", 502.0, 6_400.0, 2.0),        # set back by an hour: nothing changes
+            ("n", 5.0, 10_030.0, 30.0), ("n", 5.0, 6_400.0, float("inf"))):     # after a start of the machine it does
+        clock = steady.go_on(store.clock(), machine, monotonic, time_of_day, journal.last_written())
+        (found,) = journal.read(clock.at(monotonic), 60.0, clock.doubt).open
+        assert found.launches[0].sent_ago == ago and found.expires_in <= 60.0
+    store.close()
+
+
+@pytest.mark.parametrize("text, said", [
+    ("journal {\n most = 5\n}\n", "journal: most is 5"), ("journal {\n spare = 0\n}\n", "journal: spare is 0"),
+    ("journal {\n answers_kept = 0\n}\n", "journal: answers_kept is 0")])
+def test_faulty_bounds_of_the_journal_are_named(text, said):
+    with pytest.raises(ConfigFault, match=said):
+        parse_cluster(PLAIN + text)
