--- a/benchmarks/bad_days.py
+++ b/benchmarks/bad_days.py
@@ -4,8 +4,8 @@
 gate, so that the rules hold, and choose otherwise: one by chance, one by most room alone.
 """
 
+import argparse
 import statistics
-import sys
 import tempfile
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
@@ -77,27 +77,38 @@
 
 
 def one(job):
-    trouble, policy, seed = job
+    trouble, policy, seed, sessions = job
     with tempfile.TemporaryDirectory() as directory:
         path = Path(directory)
         (path / "cluster.hcl").write_text(CLUSTER)
-        day = parse_day(SET + f"seed {seed}\n" + "\n".join(DAYS[trouble]), "bad.day", path)
+        lines = [line + " sessions" if sessions and line.startswith("load") else line for line in SET.splitlines()]
+        day = parse_day("\n".join([*lines, f"seed {seed}", *DAYS[trouble]]), "bad.day", path)
         tally, entries = play_in_memory(day, policy=POLICIES[policy])
     traffic = audit.gather(entries)
     return job, report.earned(traffic, day, tally.asked), len(audit.judge(traffic, day.cluster))
 
 
 def main():
-    jobs = [(trouble, policy, seed) for trouble in DAYS for policy in POLICIES for seed in (1, 2, 3)]
-    with ProcessPoolExecutor(max_workers=int(sys.argv[1]) if len(sys.argv) > 1 else 6) as pool:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("processes", nargs="?", type=int, default=6)
+    parser.add_argument("--sessions", action="store_true", help="owners in sessions beside owners without, not policies")
+    args = parser.parse_args()
+    columns = ([("without", "linedeal", False), ("in sessions", "linedeal", True)] if args.sessions else
+               [(policy, policy, False) for policy in POLICIES])
+    jobs = [(trouble, policy, seed, sessions) for trouble in DAYS for _, policy, sessions in columns
+            for seed in (1, 2, 3)]
+    with ProcessPoolExecutor(max_workers=args.processes) as pool:
         results = list(pool.map(one, jobs))
-    print(f"{'trouble':<20}" + "".join(f"{name:>12}" for name in POLICIES) + f"{'to random':>12}{'breaches':>10}")
+    print(f"{'trouble':<20}" + "".join(f"{name:>12}" for name, *_ in columns) + f"{'first to 2nd':>14}{'breaches':>10}")
     for trouble in DAYS:
-        means = {policy: statistics.mean(value for (t, p, _), value, _ in results if (t, p) == (trouble, policy))
-                 for policy in POLICIES}
-        broken = sum(count for (t, p, _), _, count in results if (t, p) == (trouble, "linedeal"))
-        print(f"{trouble:<20}" + "".join(f"{means[name]:>12.3f}" for name in POLICIES)
-              + f"{means['linedeal'] / means['random']:>12.2f}{broken:>10}")
+        means, broken = [], 0
+        for _, policy, sessions in columns:
+            found = [result for result in results if result[0][0] == trouble and result[0][1] == policy
+                     and result[0][3] == sessions]
+            means.append(statistics.mean(value for _, value, _ in found))
+            broken += sum(count for _, _, count in found) if policy == "linedeal" else 0
+        print(f"{trouble:<20}" + "".join(f"{mean:>12.3f}" for mean in means)
+              + f"{means[0] / means[1]:>14.2f}{broken:>10}")
 
 
 if __name__ == "__main__":
--- a/tests/test_drmaa.py
+++ b/tests/test_drmaa.py
@@ -10,11 +10,12 @@
 from datetime import datetime, timezone
 from pathlib import Path
 
+import anyio
 import pytest
 
 from linedeal.drmaa import (InvalidArgument, InvalidSession, InvalidState, JobState, JobTemplate, SessionManager, Timeout,
                             TryLater, UnsupportedAttribute, UnsupportedOperation, DeniedByDrms, DrmCommunication)
-from linedeal.drmaa import build, translate, v1
+from linedeal.drmaa import agent, build, translate, v1
 from linedeal.drmaa.errors import V1
 from linedeal.settings.keys import hash_of
 from linedeal.standin.model import Habits
@@ -368,3 +369,32 @@
         process.send_signal(2)      # Ctrl-C ends the job, and its end is waited for
         out, _ = process.communicate(timeout=30)
         assert process.returncode == 1 and "stopped at" in out
+
+
+@pytest.mark.anyio
+async def test_a_caller_that_is_gone_waits_no_more(tmp_path, anyio_backend):
+    # guards against a wait that outlives its program and reaps a job that nobody is told of
+    began, ended = anyio.Event(), anyio.Event()
+
+    class Waiting:
+        async def wait(self, job_id, timeout):
+            began.set()
+            try:
+                await anyio.sleep_forever()
+            finally:
+                ended.set()
+
+    async with await anyio.create_unix_listener(tmp_path / "agent") as listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, agent.Agent(Waiting()).handle)
+        async with await anyio.connect_unix(tmp_path / "agent") as stream:
+            await stream.send(agent.pack(["wait", "-1", "k"]))
+            with anyio.fail_after(5):
+                await began.wait()
+        with anyio.fail_after(5):
+            await ended.wait()
+        for bad in (b"\xff" * 8, b"\0\0\0\1\xff\xff\xff\xff"):     # and what is no call ends its own connection only
+            async with await anyio.connect_unix(tmp_path / "agent") as stream:
+                await stream.send(bad)
+                with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)), anyio.fail_after(5):
+                    await stream.receive()
+        tasks.cancel_scope.cancel()
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -99,6 +99,32 @@
         assert fault(d, order(d, 1.1, "HOLD")) is Fault.NONE
 
 
+def test_a_job_that_waits_for_room_is_held_and_then_not_launched_into_it():
+    d = Drive()
+    for number in range(10):
+        effects = ask(d, 1.0, "pair", f"k{number}")
+        if not d.only(do.SendLaunch, effects):
+            break
+    assert fault(d, order(d, 1.1, "HOLD", f"k{number}")) is Fault.NONE
+    sent = next(iter(d.engine.launches.values()))
+    d.turn(1.2, on.Left(sent.host, d.links[sent.host], (sent.id.number,)))
+    d.turn(1.3, on.Accepted(sent.host, sent.id))
+    ended = on.Over(sent.host, sent.id, api.Result.DONE, api.Why.UNTOLD)
+    held = d.engine.sessions.ledger.entries["s", f"k{number}"].job.id
+    assert held not in [launch.job.id for launch in d.only(do.SendLaunch, d.turn(1.4, ended) + d.rest(20.0))]
+    # the four seconds and more that it had left begin again with its release
+    assert d.only(do.SendLaunch, order(d, 50.0, "RELEASE", f"k{number}"))[0].job.expiry == pytest.approx(50.0 + 5.9)
+
+
+def test_a_second_hold_lasts_as_long_as_the_first():
+    # guards against the first hold's timer, which still rings
+    d = Drive()
+    most = d.engine.cluster.limits.hold
+    ask(d, 1.0, hold=True)
+    d.engine.taken["c.3.1"].held_since = 0.5 * most      # as held anew half-way
+    assert not d.verdicts(d.jump(1.0 + most))
+
+
 def test_a_labelled_job_that_may_have_run_cannot_be_held():
     d = Drive()
     sent = d.only(do.SendLaunch, ask(d, 1.0, "mail"))[0]
@@ -392,6 +418,23 @@
     in_memory(tmp_path, work, habits="setup=0.1 life=50")
 
 
+def test_an_order_that_met_a_dead_controller_is_followed_when_it_is_back(tmp_path):
+    # guards against an owner that waits for ever for the reply to what was lost with the link
+    async def work(ground):
+        async with Owner.open(ground.net, C1) as owner:
+            key = await owner.submit(FEED, hold=True)
+            await ground.kill("c1")
+            await anyio.sleep(0.5)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(owner.order, key, RELEASE)
+                await anyio.sleep(0.5)
+                await ground.start("c1")
+            with anyio.fail_after(20):
+                assert (await owner.until_over(key)).stage == "done"
+
+    in_memory(tmp_path, work)
+
+
 def test_a_press_feed_host_that_is_silent_over_a_restart_while_probes_succeed(tmp_path):
     # guards against a job that is forgotten with the life that sent it, or sent again by the next
     async def work(ground):
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -76,7 +76,7 @@
 
 def test_what_is_written_comes_back(tmp_path):
     journal = Journal(Store(tmp_path))
-    journal.write(100.0, 1, [take(), launch(1), do.KeepVoid(on.LaunchId(1, 1)), launch(2)])
+    journal.write(100.0, 1, [take(), launch(1), launch(2), do.KeepVoid(on.LaunchId(1, 1))])
     found = journal.read(102.0, 6.0)
     assert found.open == (OpenJob("s", "k", JOB, 4.0, (OldLaunch(on.LaunchId(1, 1), "a", 5, True, 2.0),
                                                        OldLaunch(on.LaunchId(1, 2), "a", 5, False, 2.0)),
