--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -26,7 +26,7 @@
 
 STRAY_KEPT = 60.0       # seconds for which a launch that was given up is remembered, for a late yes
 STALL_SEEN = 0.25       # a timer this late tells that this process stood still, not that hosts were silent
-RETURN_MOST = 50        # jobs of an earlier life that go back to the module in one turn
+RETURN_MOST = 20        # jobs of an earlier life that go back to the module in one turn
 NEVER_RAN = (Result.UNREACHABLE, Result.UNSENT, Result.TURNED_AWAY)
 BREATH = 0.05           # what came in meanwhile is read for so long before launches are given up
 
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -566,7 +566,7 @@
                              for n in range(200)])
     d.list(list(d.engine.fleet.hosts), 0.1)
     first = len(d.engine.module.waiting) + len(d.engine.by_job)
-    assert 0 < first <= 50 and d.engine.next_due() <= 0.1
+    assert 0 < first <= 20 and d.engine.next_due() <= 0.1
     order(d, 0.1, "HOLD", "k199")       # while it is on its way back
     d.rest(0.2)
     assert len(d.engine.module.tracks) >= 195 and "c.1.199" not in d.engine.module.tracks
