--- a/linedeal/client/client.py
+++ b/linedeal/client/client.py
@@ -63,8 +63,8 @@
 
 
 class Client:
-    def __init__(self, link: Link, session: str = ""):
-        self.link, self.session = link, session
+    def __init__(self, link: Link):
+        self.link = link
         self.waiting: dict[str, Waiting] = {}
         self.keys = 0
         self.lost = ""
@@ -72,18 +72,17 @@
 
     @classmethod
     @asynccontextmanager
-    async def connect(cls, net: Net, address: Address, name: str, within: float = 5.0,
-                      session: str = "") -> AsyncIterator["Client"]:
+    async def connect(cls, net: Net, address: Address, name: str,
+                      within: float = 5.0) -> AsyncIterator["Client"]:
         """A client for the block; leaving it takes back all that still waits. Raises ClientLost.
 
-        With a session its jobs outlive the link and the controller's life: asked for again under the same key, a job
-        is joined, not taken twice, and an answer is kept until it has been seen.
+        Jobs that outlive link and controller are asked for by a `client.Owner`.
         """
         link = None
         try:
             with anyio.fail_after(within):
                 link = Link(await net.connect(address))
-                await link.send(encode(pb.Hello(version=VERSION, role=pb.CLIENT, name=name, session=session)))
+                await link.send(encode(pb.Hello(version=VERSION, role=pb.CLIENT, name=name)))
                 welcome = await link.receive()
             if isinstance(welcome, pb.Bye):
                 raise ClientLost(f"told to go: {welcome.reason}", False)
@@ -93,7 +92,7 @@
             said = str(error) if isinstance(error, LinkLost) else "no welcome in time"
             raise ClientLost(reason(error) if isinstance(error, LOST) and not isinstance(error, TimeoutError) else said,
                              False) from None
-        client = cls(link, session)
+        client = cls(link)
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(client.read)
@@ -145,16 +144,8 @@
             raise ClientLost(self.lost, True)
         if isinstance(message, pb.TurnedAway):
             raise TurnedAway(message.reason, message.retry_after)
-        if self.session:
-            await self.confirm(key)
         return Answered(message.job, VERDICTS.get(message.verdict, "written off"), message.host)
 
-    async def confirm(self, key: str) -> None:
-        try:
-            await self.send(pb.AnswerSeen(key=key))
-        except LinkLost:
-            pass        # it is kept a while longer, that is all
-
     async def take_back(self, key: str) -> None:
         try:
             await self.send(pb.TakeBack(key=key))
