--- a/linedeal/cli_jobs.py
+++ b/linedeal/cli_jobs.py
@@ -201,8 +201,9 @@
 
     async def heard_all(owner):
         """Controllers that do not answer are named, what the others say is shown all the same."""
+        from linedeal.client.owner import NOT_YET
         with anyio.move_on_after(3.0):
-            while not all(home.heard or home.refuses for home in owner.homes):
+            while not all(home.heard or home.why != NOT_YET for home in owner.homes):
                 await owner.change()
         for home in owner.homes:
             if not home.heard:
--- a/linedeal/client/owner.py
+++ b/linedeal/client/owner.py
@@ -32,6 +32,7 @@
 UNSEEN_MOST = 500       # jobs asked for and not known to be taken, at a time
 ASK_WITHIN = 30.0       # seconds for which a job that is turned away "for now" is asked for again
 
+NOT_YET = "not reached yet"
 HOLD, RELEASE, END = pb.HOLD, pb.RELEASE, pb.END
 STAGES = {number: name.removeprefix("STAGE_").lower().replace("_", " ") for name, number in pb.Stage.items()}
 BEFORE, AT_HOST = ("held", "later", "waiting"), ("placed", "running")
@@ -120,7 +121,7 @@
     link: Link | None = None
     heard: bool = False             # it has told all that it holds, once
     lost_at: float = 0.0
-    why: str = "not reached yet"
+    why: str = NOT_YET
     refuses: bool = False
     writing: anyio.Lock = field(default_factory=anyio.Lock)
     orders: dict[str, deque] = field(default_factory=dict)
