--- a/benchmarks/kills.py
+++ b/benchmarks/kills.py
@@ -9,7 +9,6 @@
 """
 
 import argparse
-import logging
 import tempfile
 import time
 from collections import Counter
@@ -18,16 +17,13 @@
 from random import Random
 
 import anyio
-import structlog
-import trio
-import trio.testing
 
 from linedeal import audit
 from linedeal.client import JobAsk, TurnedAway
 from linedeal.client.contact import Contact
 from linedeal.client.owner import Owner
 from linedeal.lab.day import parse_day
-from linedeal.lab.inprocess import InProcess
+from linedeal.lab.play import in_memory
 
 CLUSTER = """
 cluster {
@@ -55,22 +51,13 @@
 DAY = "cluster cluster.hcl\nseed {seed}\nlength 1\ncontrollers 2\nhabit setup=0.05 life=0.4 look=0.002\n" \
       "hosts 12 kind std\nload web 1\n"
 RATE = 40.0     # jobs a second, for each controller
-QUIET = structlog.wrap_logger(structlog.PrintLogger(), wrapper_class=structlog.make_filtering_bound_logger(
-    logging.CRITICAL))
 
 
 def play(seed: int, jobs: int, kills: int) -> Counter:
-    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
-    trio._core._run._r.seed(seed)
     with tempfile.TemporaryDirectory() as place:
         (Path(place) / "cluster.hcl").write_text(CLUSTER)
         day = parse_day(DAY.format(seed=seed), f"{place}/kills.day", Path(place))
-
-        async def main():
-            async with InProcess(day, Path(place), QUIET) as ground:
-                return await under_load(ground, Random(seed), jobs, kills)
-
-        return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        return in_memory(day, lambda ground: under_load(ground, Random(seed), jobs, kills))
 
 
 async def under_load(ground, random: Random, jobs: int, kills: int) -> Counter:
--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -16,11 +16,11 @@
 from random import Random
 
 import anyio
-import structlog
 
 from linedeal.controller.runtime import Runtime, Setup
 from linedeal.engine import effects as do
 from linedeal.interface import Job
+from linedeal.lab.play import QUIET
 from linedeal.net.memory import MemoryNet
 from linedeal.protocol import pb
 from linedeal.settings.cluster import parse_cluster
@@ -47,7 +47,6 @@
   effect = "irreversible"
 }
 """
-QUIET = structlog.wrap_logger(structlog.PrintLogger(), wrapper_class=structlog.make_filtering_bound_logger(50))
 
 
 def fill(directory: Path, jobs: int, hosts: int) -> tuple[dict[str, list], int]:
--- a/linedeal/audit/rules.py
+++ b/linedeal/audit/rules.py
@@ -63,14 +63,13 @@
 def answered_once(traffic, cluster, job: JobSeen):
     offering = offering_of(cluster, job)
     wait = min(job.wait or offering.expiry, offering.expiry)
-    begun = max([job.taken] + [since for _, since in job.shifts])
-    due = stood_until(traffic, job.controller, begun + wait) + cluster.rules.answer_slack
+    due = stood_until(traffic, job.controller, max(job.taken, job.began) + wait) + cluster.rules.answer_slack
     if job.session:
         # neither a kill nor a broken link excuses it; it can be told once the controller stands and a link does
         due, gone = told_by(traffic, job, due), NEVER if not job.aside else 0.0
     else:
         gone = min(killed(traffic, job.controller, job.taken), job.left)
-    said = sorted(job.answers + job.told)
+    said = job.said
     if not said:
         if gone > due and traffic.end > due:
             yield Breach(1, due, f"{job.id} ({job.offering}) was taken at {job.taken:.3f} and never answered")
--- a/linedeal/audit/traffic.py
+++ b/linedeal/audit/traffic.py
@@ -54,11 +54,16 @@
     left: float = NEVER
     session: str = ""
     told: list[tuple[float, int]] = field(default_factory=list)     # verdicts shown by its standing
-    shifts: list[tuple[float, float]] = field(default_factory=list)     # its time to find a host began anew, at
+    began: float = 0.0          # when its time to find a host began, where not as it was taken
     over: bool = False          # its owner has let go of it: the key is free
     aside: bool = False         # held, or its start time has not come
     launches: list[LaunchSeen] = field(default_factory=list)
 
+    @property
+    def said(self) -> list[tuple[float, int]]:
+        """Each time that its owner was told a verdict, by an answer or by its standing."""
+        return sorted(self.answers + self.told)
+
 
 @dataclass(slots=True, eq=False)
 class Told:
@@ -184,7 +189,7 @@
             message.job, link.to, ask.job.offering, ask.job.customer, ask.job.cores, message.key, id(link), entry.t,
             ask.wait, session=link.hello.session, aside=ask.hold)
         if ask.start_in:
-            job.shifts.append((entry.t, entry.t + ask.start_in))
+            job.began = entry.t + ask.start_in
 
     def standing(self, entry, link, message) -> None:
         job = self.traffic.jobs.get(message.job.id)
@@ -198,7 +203,7 @@
                 job.aside = True
             elif message.kind == pb.RELEASE:
                 job.aside = False
-                job.shifts.append((entry.t, entry.t))
+                job.began = entry.t
 
     def forget(self, entry, link, message) -> None:
         job = self.traffic.jobs.get(self.keys.get((link.to, link.hello.session, message.key), ""))
--- a/linedeal/cli.py
+++ b/linedeal/cli.py
@@ -16,7 +16,7 @@
 import anyio
 import typer
 
-from linedeal import cli_jobs, logs, processes
+from linedeal import cli_jobs, processes
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False, rich_markup_mode=None,
                   help="linedeal places long-running jobs on a cluster's hosts.", epilog=__doc__.split("\n\n")[1])
@@ -38,29 +38,35 @@
 
 def main() -> None:
     """Runs the command line; faults end it with one plain line."""
-    from linedeal.controller.runtime import Halted
-    from linedeal.lab.day import DayFault
-    from linedeal.lab.processes import ProcessFault
-    from linedeal.lab.record import BadRecord
-    from linedeal.settings.cluster import ConfigFault
-    from linedeal.state import StoreFault
     try:
         app()
+        return
     except BaseExceptionGroup as group:
         error = processes.unwrap(group)
     except Exception as caught:
         error = caught
-    else:
-        return
-    statuses = ((Fault, getattr(error, "status", 2)), ((ConfigFault, DayFault, BadRecord), 1),
-                ((StoreFault, ProcessFault, OSError), 3), (Halted, 4))
-    status = next((status for kinds, status in statuses if isinstance(error, kinds)), None)
+    status = status_of(error)
     if status is None:
         raise error     # a fault of the program: all of it is shown
     print(f"linedeal: {error}", file=sys.stderr)
     sys.exit(status)
 
 
+def status_of(error: BaseException) -> int | None:
+    """The exit status that an error stands for; None for one that no command is meant to end with."""
+    if isinstance(error, Fault):
+        return error.status
+    # only now: most commands need none of these packages, and loading all takes longer than the command
+    from linedeal.controller.runtime import Halted
+    from linedeal.lab.day import DayFault
+    from linedeal.lab.processes import ProcessFault
+    from linedeal.lab.record import BadRecord
+    from linedeal.settings.cluster import ConfigFault
+    from linedeal.state import StoreFault
+    statuses = (((ConfigFault, DayFault, BadRecord), 1), ((StoreFault, ProcessFault, OSError), 3), (Halted, 4))
+    return next((status for kinds, status in statuses if isinstance(error, kinds)), None)
+
+
 def address_of(text: str):
     from linedeal.net import parse_address
     try:
@@ -107,6 +113,7 @@
 
     SIGTERM ends it after the jobs that it holds are answered.
     """
+    from linedeal import logs
     from linedeal.controller.runtime import Runtime, Setup
     from linedeal.net import TcpNet
     from linedeal.settings.cluster import read_cluster
@@ -161,6 +168,7 @@
          young: bool = False, control: Control = False):
     """A stand-in for a host: accepts, refuses, starts and ends jobs as a host would; nothing is really run."""
     from random import Random
+    from linedeal import logs
     from linedeal.net import TcpNet
     from linedeal.settings.cluster import read_cluster
     from linedeal.standin.host import HostServer
@@ -187,6 +195,7 @@
 @app.command()
 def discovery(listen: Listen = "127.0.0.1:0", control: Control = False):
     """A stand-in for discovery: hosts tell it of themselves, controllers watch it."""
+    from linedeal import logs
     from linedeal.net import TcpNet
     from linedeal.standin.discovery import Discovery
 
@@ -199,6 +208,7 @@
 @app.command(hidden=True)
 def tap(record: Annotated[str, typer.Option()], control: Control = False):
     """Stands between the others and records what passes; takes routes and cuts as orders on standard input."""
+    from linedeal import logs
     from linedeal.lab.record import Recorder
     from linedeal.lab.tap import TapServer
     from linedeal.net import TcpNet
--- a/linedeal/cli_jobs.py
+++ b/linedeal/cli_jobs.py
@@ -36,22 +36,19 @@
             raise fault(f"contact {error}", 2) from None
         if place is None:
             raise fault("no contact: --contact or LINEDEAL_CONTACT", 2)
-        told = None
         try:
             async with Owner.open(TcpNet(), place, token) as owner:
                 yield owner
-        except* OwnerFault as group:
-            told = fault(str(first(group)), 3)
-        except* NoSuchJob as group:
-            told = fault(f"no job {first(group).args[0]!r} in session {place.session or 'without a name'}", 1)
-        except* OrderRefused as group:
-            told = fault(f"not done: {first(group)}", 1)
-        except* TurnedAway as group:
-            told = fault(f"turned away: {first(group)}", 1)
-        except* TimeoutError:
-            told = fault("not within its time", 1)
-        if told is not None:
-            raise told
+        except OwnerFault as error:
+            raise fault(str(error), 3) from None
+        except NoSuchJob as error:
+            raise fault(f"no job {error.args[0]!r} in session {place.session or 'without a name'}", 1) from None
+        except OrderRefused as error:
+            raise fault(f"not done: {error}", 1) from None
+        except TurnedAway as error:
+            raise fault(f"turned away: {error}", 1) from None
+        except TimeoutError:
+            raise fault("not within its time", 1) from None
 
     def work_of(offering, command, service, customer, cores, memory, wait, name):
         from linedeal.client import JobAsk
@@ -66,7 +63,7 @@
                 contact: CONTACT = "", service: SERVICE = "", customer: str = "", cores: float = 1.0,
                 memory: float = 1.0, wait: WAIT = 0.0, name: str = "", as_json: JSON = False):
         """Submits a job, follows it, and exits with its status; 1 where it has none. Ctrl-C ends the job."""
-        from linedeal.client.owner import END, OrderRefused
+        from linedeal.client.owner import END, NoSuchJob, OrderRefused
         ask, work = work_of(offering, command or [], service, customer, cores, memory, wait, name)
         found = []
 
@@ -86,7 +83,7 @@
                 async for _ in signals:
                     try:
                         await owner.order(key, END)
-                    except OrderRefused:
+                    except (OrderRefused, NoSuchJob):
                         pass        # it has just ended by itself
 
         run(go)
@@ -110,15 +107,13 @@
             return without_session(to, ask, as_json)
         if contact and "/" not in contact:
             raise fault(f"contact {contact!r} names no session: the job could not be found again", 2)
-        jobs = [(ask, key, work)]
-        if bulk:
-            jobs = bulk_of(ask, work, bulk)
+        works = bulk_of(work, bulk) if bulk else []
         standings = []
 
         async def go():
             async with opened(contact) as owner:
                 if bulk:
-                    named = [(ask, f"{key or owner.prefix}.{index}", work) for ask, index, work in jobs]
+                    named = [(ask, f"{key or owner.prefix}.{work.index}", work) for work in works]
                     keys = await owner.submit_many(named, hold, start_in)
                 else:
                     keys = [await owner.submit(ask, key, work, hold, start_in)]
@@ -148,32 +143,25 @@
                 async with Client.connect(TcpNet(), address, "submit") as client:
                     answered = await client.submit(ask)
                 found.update(verdict=answered.verdict, job=answered.job, host=answered.host)
-            except* TurnedAway as group:
-                found.update(verdict="turned away", reason=str(first(group)), retry_after=first(group).retry_after)
-            except* ClientLost as group:
-                found.update(verdict="lost", reason=str(first(group)), may_have_run=first(group).taken)
+            except TurnedAway as error:
+                found.update(verdict="turned away", reason=str(error), retry_after=error.retry_after)
+            except ClientLost as error:
+                found.update(verdict="lost", reason=str(error), may_have_run=error.taken)
 
         run(go)
         print(json.dumps(found) if as_json else ", ".join(f"{k} {v}" for k, v in found.items() if v != ""))
         raise typer.Exit(0 if found["verdict"] == "placed" else 1)
 
-    def bulk_of(ask, work, bulk):
+    def bulk_of(work, bulk):
         from linedeal.drmaa import errors, translate
+        from linedeal.protocol import pb
         try:
             ends, _, step = bulk.partition(":")
             begin, _, end = ends.partition("-")
             numbers = translate.indices(int(begin), int(end), int(step or 1))
         except (ValueError, errors.InvalidArgument) as error:
             raise fault(f"--bulk {bulk}: {error}", 2) from None
-        found = []
-        for index in numbers:
-            own = type(work)()
-            if work is not None:
-                own.CopyFrom(work)
-                own.arguments[:] = [text.replace(translate.INCREMENT, str(index)) for text in work.arguments]
-            own.index = index
-            found.append((ask, index, own))
-        return found
+        return [translate.at_index(work or pb.Work(), index) for index in numbers]
 
     @app.command(epilog="Example: linedeal status --contact 127.0.0.1:7100/shop")
     def status(keys: Annotated[Optional[list[str]], typer.Argument()] = None, contact: CONTACT = "",
@@ -203,7 +191,7 @@
         """Controllers that do not answer are named, what the others say is shown all the same."""
         from linedeal.client.owner import NOT_YET
         with anyio.move_on_after(3.0):
-            while not all(home.heard or home.why != NOT_YET for home in owner.homes):
+            while any(home.why == NOT_YET for home in owner.homes):
                 await owner.change()
         for home in owner.homes:
             if not home.heard:
@@ -220,11 +208,11 @@
             async with opened(contact) as owner:
                 for key in keys:
                     await owner.find(key)
-                async with anyio.create_task_group() as tasks:
-                    tasks.start_soon(show, owner, keys, as_json)
-                    with anyio.fail_after(timeout or None):
+                with anyio.fail_after(timeout or None):     # outside the tasks, which would wrap its error
+                    async with anyio.create_task_group() as tasks:
+                        tasks.start_soon(show, owner, keys, as_json)
                         found.extend(await owner.until(keys, lambda standing: standing.over, not any_))
-                    tasks.cancel_scope.cancel()
+                        tasks.cancel_scope.cancel()
 
         run(go)
         tell(found, as_json)
@@ -279,12 +267,6 @@
         run(agent.serve, contact, fast=False)
 
 
-def first(group: BaseException) -> BaseException:
-    while isinstance(group, BaseExceptionGroup):
-        group = group.exceptions[0]
-    return group
-
-
 def line(standing) -> str:
     """How a job stands, in one line."""
     words = [standing.stage]
--- a/linedeal/client/client.py
+++ b/linedeal/client/client.py
@@ -10,8 +10,7 @@
 
 import anyio
 
-from linedeal.net import Address, Link, LinkLost, Net
-from linedeal.net.base import LOST, reason
+from linedeal.net import Address, Link, LinkLost, Net, open_link
 from linedeal.protocol import VERSION, encode, pb
 
 VERDICTS = {pb.PLACED: "placed", pb.REJECTED: "rejected", pb.WRITTEN_OFF: "written off"}
@@ -78,28 +77,27 @@
 
         Jobs that outlive link and controller are asked for by a `client.Owner`.
         """
-        link = None
         try:
-            with anyio.fail_after(within):
-                link = Link(await net.connect(address))
-                await link.send(encode(pb.Hello(version=VERSION, role=pb.CLIENT, name=name)))
-                welcome = await link.receive()
-            if isinstance(welcome, pb.Bye):
-                raise ClientLost(f"told to go: {welcome.reason}", False)
-        except (LinkLost, TimeoutError, *LOST) as error:
-            if link is not None:
-                await link.close()
-            said = str(error) if isinstance(error, LinkLost) else "no welcome in time"
-            raise ClientLost(reason(error) if isinstance(error, LOST) and not isinstance(error, TimeoutError) else said,
-                             False) from None
-        client = cls(link)
+            link, welcome = await open_link(net, address, encode(pb.Hello(version=VERSION, role=pb.CLIENT, name=name)),
+                                            within)
+        except LinkLost as error:
+            raise ClientLost(str(error), False) from None
+        if isinstance(welcome, pb.Bye):
+            await link.close()
+            raise ClientLost(f"told to go: {welcome.reason}", False)
+        client, fault = cls(link), None
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(client.read)
-                yield client
+                try:
+                    yield client
+                except Exception as error:
+                    fault = error       # a task group would wrap it
                 tasks.cancel_scope.cancel()
         finally:
             await link.close()
+        if fault is not None:
+            raise fault
 
     async def read(self) -> None:
         try:
--- a/linedeal/client/owner.py
+++ b/linedeal/client/owner.py
@@ -22,8 +22,7 @@
 from linedeal.client.client import JobAsk, TurnedAway
 from linedeal.client.contact import Contact
 from linedeal.client.course import Next, State
-from linedeal.net import Address, Link, LinkLost, Net
-from linedeal.net.base import LOST, reason
+from linedeal.net import Address, Link, LinkLost, Net, open_link
 from linedeal.protocol import VERSION, encode, pb
 
 AGAIN = 0.2             # seconds between two tries to reach a controller
@@ -39,7 +38,11 @@
 
 
 class OwnerFault(Exception):
-    """No controller can be reached, or none lets this owner in."""
+    """No controller can be reached, or none lets this owner in; `refused`: one did not take the customer's key."""
+
+    def __init__(self, text: str, refused: bool):
+        super().__init__(text)
+        self.refused = refused
 
 
 class NoSuchJob(KeyError):
@@ -142,10 +145,11 @@
 
 
 class Owner:
-    def __init__(self, net: Net, contact: Contact, token: str = "", patience: float = PATIENCE):
+    def __init__(self, net: Net, contact: Contact, token: str = "", patience: float = PATIENCE,
+                 first: int | None = None):
         self.net, self.contact, self.token, self.patience = net, contact.named(), token, patience
         # sessions begin at different controllers, so that no single one gets them all
-        turn = zlib.crc32(self.contact.session.encode()) % len(contact.controllers)
+        turn = zlib.crc32(self.contact.session.encode()) % len(contact.controllers) if first is None else first
         places = contact.controllers[turn:] + contact.controllers[:turn]
         self.homes = [Home(address) for address in places]
         self.courses: dict[str, Course] = {}
@@ -161,9 +165,10 @@
     @classmethod
     @asynccontextmanager
     async def open(cls, net: Net, contact: Contact, token: str = "", within: float = 5.0,
-                   patience: float = PATIENCE) -> AsyncIterator["Owner"]:
-        """The session for the block; its jobs go on when it is left. Raises OwnerFault if no controller answers."""
-        owner = cls(net, contact, token, patience)
+                   patience: float = PATIENCE, first: int | None = None) -> AsyncIterator["Owner"]:
+        """The session for the block; its jobs go on when it is left. `first`: which of the contact's controllers new
+        jobs go to while it is there; else the session's name says. Raises OwnerFault if no controller answers."""
+        owner = cls(net, contact, token, patience, first)
         async with anyio.create_task_group() as tasks:
             for home in owner.homes:
                 tasks.start_soon(owner.keep, home)
@@ -173,9 +178,13 @@
                     await owner.change()
             fault = None
             if any(home.heard for home in owner.homes):
-                yield owner
+                try:
+                    yield owner
+                except Exception as error:
+                    fault = error       # a task group would wrap it
             else:
-                fault = OwnerFault("; ".join(f"{home}: {home.why}" for home in owner.homes))
+                fault = OwnerFault("; ".join(f"{home}: {home.why}" for home in owner.homes),
+                                   any(home.refuses for home in owner.homes))
             tasks.cancel_scope.cancel()
         if fault is not None:
             raise fault
@@ -188,8 +197,7 @@
 
         Raises TurnedAway where it is not taken, TimeoutError after `within` seconds: then it may be.
         """
-        self.numbers += 1
-        key = key or f"{self.prefix}-{self.numbers}"
+        key = key or self.new_key()
         spec = pb.JobSpec(offering=ask.offering, customer=ask.customer, service=ask.service, cores=ask.cores,
                           memory=ask.memory, work=work.SerializeToString(deterministic=True) if work else b"")
         message = pb.Submit(key=key, job=spec, wait=ask.wait, follow=True, hold=hold, start_in=start_in)
@@ -211,16 +219,22 @@
             raise known.turned
         return key
 
+    def new_key(self) -> str:
+        """One that no job of the session has, in this process or another."""
+        self.numbers += 1
+        return f"{self.prefix}-{self.numbers}"
+
     async def submit_many(self, asks: Iterable[tuple[JobAsk, str, pb.Work | None]], hold: bool = False,
                           start_in: float = 0.0, within: float = ASK_WITHIN) -> list[str]:
-        """All of them taken, or TurnedAway for the first that was not: then those taken are ended again."""
+        """All of them taken, or TurnedAway for the first that was not: then those taken are ended again. Raises
+        TimeoutError as `submit`: then some may be taken."""
         asks = list(asks)
-        faults: list[TurnedAway] = []
+        faults: list[TurnedAway | TimeoutError] = []
 
         async def one(ask, key, work):
             try:
                 await self.submit(ask, key, work, hold, start_in, within)
-            except TurnedAway as error:
+            except (TurnedAway, TimeoutError) as error:
                 faults.append(error)
 
         for at in range(0, len(asks), UNSEEN_MOST):
@@ -229,6 +243,9 @@
                     tasks.start_soon(one, ask, key, work)
             if faults:
                 break
+        for fault in faults:
+            if isinstance(fault, TimeoutError):
+                raise fault
         if faults:
             for _, key, _ in asks:
                 if key in self.courses and self.courses[key].state is not State.REFUSED:
@@ -273,7 +290,7 @@
             await self.change()
             # only what has changed is looked at again: a bulk of 10,000 changes 30,000 times
             new = self.news_count - seen
-            fresh = missing if new > len(self.news) else list(self.news)[len(self.news) - new:]
+            fresh = missing if new > len(self.news) else [self.news[-back] for back in range(new, 0, -1)]
             seen = self.news_count
             for key in fresh:
                 if key in missing and test(standing := self.standing(key)):
@@ -302,8 +319,7 @@
             raise NoSuchJob(key)
         waiting = Waiting(kind)
         job.home.orders.setdefault(key, deque()).append(waiting)
-        if job.home.link is not None:
-            await self.send(job.home, pb.Order(key=key, kind=kind))
+        await self.send(job.home, pb.Order(key=key, kind=kind))
         await waiting.done.wait()
         reply = waiting.reply
         # an order that was sent again after a break may have been followed the first time
@@ -321,8 +337,7 @@
             del self.courses[key]
             if job.left:
                 self.moved[key] = job.left
-            if job.home.link is not None:
-                await self.send(job.home, pb.Forget(key=key))
+            await self.send(job.home, pb.Forget(key=key))
 
     async def move(self, key: str) -> None:
         """The owner knows that it is safe to ask for this job at another controller."""
@@ -365,26 +380,16 @@
             await anyio.sleep(AGAIN if not home.refuses else 10 * AGAIN)
 
     async def connect(self, home: Home) -> Link:
-        link = None
-        try:
-            with anyio.fail_after(CONNECT):
-                link = Link(await self.net.connect(home.address))
-                await link.send(encode(pb.Hello(
-                    version=VERSION, role=pb.CLIENT, name=self.contact.session, session=self.contact.session,
-                    customer=self.contact.customer, token=self.token)))
-                welcome = await link.receive()
-            if not isinstance(welcome, pb.Welcome):
-                home.refuses = isinstance(welcome, pb.Bye) and not welcome.retry_after
-                raise LinkLost(getattr(welcome, "reason", "") or "no welcome")
-            for offering in welcome.offerings:
-                self.effects[offering.name] = offering.redoable
-            return link
-        except (LinkLost, TimeoutError, *LOST) as error:
-            if link is not None:
-                await link.close()
-            if isinstance(error, LinkLost):
-                raise
-            raise LinkLost("no welcome in time" if isinstance(error, TimeoutError) else reason(error)) from None
+        link, welcome = await open_link(self.net, home.address, encode(pb.Hello(
+            version=VERSION, role=pb.CLIENT, name=self.contact.session, session=self.contact.session,
+            customer=self.contact.customer, token=self.token)), CONNECT)
+        if not isinstance(welcome, pb.Welcome):
+            await link.close()
+            home.refuses = isinstance(welcome, pb.Bye) and not welcome.retry_after
+            raise LinkLost(getattr(welcome, "reason", "") or "no welcome")
+        for offering in welcome.offerings:
+            self.effects[offering.name] = offering.redoable
+        return link
 
     async def learn(self, home: Home, link: Link) -> None:
         """All that the controller holds for the session, page by page."""
@@ -432,11 +437,10 @@
                 await self.told(home, message)
             case pb.Taken(key=key):
                 job = self.courses.get(key)
-                if job is not None and job.home is home and job.state is State.ASKED:
-                    job.state = State.TAKEN
-                    job.taken.set()
-                elif job is not None:
-                    job.taken.set()     # joined
+                if job is not None:
+                    if job.home is home and job.state is State.ASKED:
+                        job.state = State.TAKEN
+                    job.taken.set()     # by this question, or joined
             case pb.TurnedAway():
                 await self.turned_away(home, message)
             case pb.Ordered():
--- a/linedeal/controller/hostlink.py
+++ b/linedeal/controller/hostlink.py
@@ -12,8 +12,7 @@
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
 from linedeal.interface import Mode
-from linedeal.net import Link, LinkLost, Net, parse_address, until_lost
-from linedeal.net.base import LOST, reason
+from linedeal.net import Address, Link, LinkLost, Net, open_link, parse_address, until_lost
 from linedeal.protocol import VERSION, encode, pb
 from linedeal.settings.cluster import Limits
 
@@ -51,23 +50,19 @@
         if listed.mode is not Mode.SERVING:
             self.keep_back()
 
-    def keep_back(self) -> None:
-        """Hands all launches back that have not begun to leave: what they were decided on holds no more."""
-        numbers = tuple(effect.number for effect in self.outbox if isinstance(effect, do.SendLaunch))
-        if numbers:
-            self.outbox = deque(effect for effect in self.outbox if not isinstance(effect, do.SendLaunch))
-            self.inbox.put(on.Unsent(self.listed.id, numbers))
+    def keep_back(self, number: int | None = None) -> None:
+        """Hands launches back that have not begun to leave, or that one: what they were decided on holds no more."""
+        def meant(effect):
+            return isinstance(effect, do.SendLaunch) and number in (None, effect.number)
 
-    def unsend(self, number: int) -> None:
-        for effect in self.outbox:
-            if isinstance(effect, do.SendLaunch) and effect.number == number:
-                self.outbox.remove(effect)
-                self.inbox.put(on.Unsent(self.listed.id, (number,)))
-                return
+        back = tuple(effect.number for effect in self.outbox if meant(effect))
+        if back:
+            self.outbox = deque(effect for effect in self.outbox if not meant(effect))
+            self.inbox.put(on.Unsent(self.listed.id, back))
 
     def stop(self, effect: do.SendStop) -> None:
         if effect.launch.life == self.life:
-            self.unsend(effect.launch.number)
+            self.keep_back(effect.launch.number)
         self.tell(effect)
 
     def probe(self, effect: do.SendProbe) -> None:
@@ -125,38 +120,29 @@
         """A link that the host has welcomed. Raises LinkLost; no launch has left by then."""
         why = "it has no address"
         for text in self.listed.addresses:
-            link = None
             try:
-                with anyio.fail_after(self.limits.connect):
-                    link = Link(await self.net.connect(parse_address(text)))
-                    return link, await self.greet(link)
-            except TimeoutError:
-                why = f"{text}: no welcome within {self.limits.connect:g} s"
+                return await self.greet(parse_address(text))
             except (ValueError, LinkLost) as error:
                 why = f"{text}: {error}"
-            except LOST as error:
-                why = f"{text}: {reason(error)}"
-            except BaseException:
-                if link is not None:
-                    await link.close()
-                raise
-            if link is not None:
-                await link.close()
         raise LinkLost(why)
 
-    async def greet(self, link: Link) -> pb.Welcome:
+    async def greet(self, address: Address) -> tuple[Link, pb.Welcome]:
         self.next_number = self.next_link()
-        await link.send(encode(pb.Hello(version=VERSION, role=pb.CONTROLLER, name=self.controller, life=self.life,
-                                        link=self.next_number)))
-        message = await link.receive()
-        if isinstance(message, pb.Bye) and message.fenced:
-            await self.inbox.post(on.Fenced(self.listed.id, message.reason[:200]))
-            raise LinkLost("fenced")
-        if not isinstance(message, pb.Welcome):
-            raise LinkLost(f"{type(message).__name__} in place of a welcome")
-        if message.name != self.listed.id:
-            raise LinkLost(f"host {message.name[:80]!r} answers there")     # an address that was given to another
-        return message
+        link, message = await open_link(self.net, address, encode(pb.Hello(
+            version=VERSION, role=pb.CONTROLLER, name=self.controller, life=self.life, link=self.next_number)),
+            self.limits.connect)
+        try:
+            if isinstance(message, pb.Bye) and message.fenced:
+                await self.inbox.post(on.Fenced(self.listed.id, message.reason[:200]))
+                raise LinkLost("fenced")
+            if not isinstance(message, pb.Welcome):
+                raise LinkLost(f"{type(message).__name__} in place of a welcome")
+            if message.name != self.listed.id:
+                raise LinkLost(f"host {message.name[:80]!r} answers there")     # an address that was given to another
+        except BaseException:
+            await link.close()
+            raise
+        return link, message
 
     async def serve(self, link: Link, number: int) -> None:
         self.up = True
--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -22,7 +22,8 @@
 from linedeal.state.journal import Journal, to_keep
 
 KEEP_EVERY = 1.0        # seconds between two writes of the list
-ROOM_EVERY = 1.0        # seconds between two looks at the journal's room and for answers kept long enough
+ROOM_EVERY = 1.0        # seconds between two looks at the journal's room
+COMPACT_EVERY = 60.0    # seconds between two looks, over all of it, for what was kept long enough
 TELL_EVERY = 10.0       # seconds between two lines that sum up
 
 
@@ -68,7 +69,7 @@
         numbers = itertools.count(1)
         self.next_link = lambda: next(numbers)
         async with anyio.create_task_group() as self.tasks:
-            self.remember(now)
+            self.remember()
             self.recover()
             for effect in self.engine.begin():
                 self.carry(effect)
@@ -76,6 +77,7 @@
             self.tasks.start_soon(self.keep_list)
             self.tasks.start_soon(self.tell)
             self.tasks.start_soon(self.compact)
+            self.tasks.start_soon(self.watch_room)
             address = await self.tasks.start(self.front.run, self.setup.listen)
             self.log.info("takes jobs", address=f"{address[0]}:{address[1]}")
             task_status.started(address)
@@ -89,15 +91,15 @@
         self.leaving.set()
         self.inbox.arrived.set()
 
-    def remember(self, now: float) -> None:
-        version, hosts = self.store.last_list(self.time_of_day())
+    def remember(self) -> None:
+        version, hosts = self.store.last_list(self.journal_time())
         if hosts:
             self.log.info("starts from the list kept last", hosts=len(hosts), version=version)
             self.engine.put(on.ListHeard(hosts, True, version, remembered=True))
 
     def recover(self) -> None:
         longest = max(offering.expiry for offering in self.setup.cluster.settings.offerings.values())
-        found = self.journal.read(self.time_of_day(), longest, self.clock.doubt)
+        found = self.journal.read(self.journal_time(), longest, self.clock.doubt)
         if self.clock.doubt:
             self.log.warning("the time of day was set back: no window of an earlier life is believed")
         if found.open or found.answers:
@@ -108,24 +110,28 @@
         """Where each commit is flushed a thread waits for the disk. Without, a commit takes less than a thread's hop,
         which costs up to one switch of the interpreter each way."""
         if self.setup.cluster.journal.power:
-            await self.on_disk(self.journal.write, self.time_of_day(), self.life, effects)
+            await self.on_disk(self.journal.write, self.journal_time(), self.life, effects)
         else:
             async with self.disk:
-                self.journal.write(self.time_of_day(), self.life, effects)
+                self.journal.write(self.journal_time(), self.life, effects)
         if self.journal.full:
             self.mind_room(True)
 
     async def compact(self) -> None:
-        """Answers that no session has confirmed go in the end, some at a time."""
+        """What timers of this life have not dropped goes in the end, some at a time."""
         while True:
             try:
-                dropped = await self.on_disk(self.journal.compact, self.time_of_day(),
+                dropped = await self.on_disk(self.journal.compact, self.journal_time(),
                                              self.setup.cluster.journal.answers_kept)
-                self.mind_room(await self.on_disk(self.journal.look))
             except StoreFault as error:
                 self.log.error("journal not compacted", reason=str(error))
                 dropped = 0
-            await anyio.sleep(0.1 if dropped else ROOM_EVERY)
+            await anyio.sleep(0.1 if dropped else COMPACT_EVERY)
+
+    async def watch_room(self) -> None:
+        while True:
+            self.mind_room(await self.on_disk(self.journal.look))
+            await anyio.sleep(ROOM_EVERY)
 
     def mind_room(self, full: bool) -> None:
         if full != self.engine.full:
@@ -210,18 +216,18 @@
             hosts = tuple(host for host in self.kept.values()
                           if host.id in self.links and host.mode is not Mode.GONE)
             try:
-                await self.on_disk(self.store.keep_list, self.time_of_day(), self.watch.version, hosts)
+                await self.on_disk(self.store.keep_list, self.journal_time(), self.watch.version, hosts)
             except StoreFault as error:     # the former list stays; jobs do not wait for a disk
                 self.log.error("list not kept", reason=str(error))
             await anyio.sleep(KEEP_EVERY)
 
-    # a day on a mock clock replaces these two: a thread or the real time of day would make each run another
+    # a day on a mock clock replaces these two: a thread or the machine's clock would make each run another
 
     async def on_disk(self, call, *args):
         async with self.disk:
             return await anyio.to_thread.run_sync(call, *args)
 
-    def time_of_day(self) -> float:
+    def journal_time(self) -> float:
         return self.clock.at(steady.monotonic())
 
     async def tell(self) -> None:
@@ -236,7 +242,7 @@
 LINK_EFFECTS = {
     do.OpenLink: lambda link, effect: link.open(),
     do.SendLaunch: HostLink.launch,
-    do.Unsend: lambda link, effect: link.unsend(effect.number),
+    do.Unsend: lambda link, effect: link.keep_back(effect.number),
     do.SendStop: HostLink.stop,
     do.SendEndSeen: HostLink.tell,
     do.SendProbe: HostLink.probe,
--- a/linedeal/controller/watch.py
+++ b/linedeal/controller/watch.py
@@ -5,8 +5,7 @@
 from linedeal.controller import translate
 from linedeal.controller.inbox import Inbox
 from linedeal.engine import events as on
-from linedeal.net import Address, Link, LinkLost, Net, until_lost
-from linedeal.net.base import LOST, reason
+from linedeal.net import Address, Link, LinkLost, Net, open_link, until_lost
 from linedeal.protocol import VERSION, encode, pb
 from linedeal.settings.cluster import Limits
 
@@ -27,20 +26,14 @@
             await self.wanted.wait()
             link, why = None, ""
             try:
-                with anyio.fail_after(self.limits.watch):
-                    link = Link(await self.net.connect(self.address))
-                    await link.send(encode(pb.Hello(version=VERSION, features=["zstd"], role=pb.CONTROLLER,
-                                                    name=self.controller, life=self.life)))
-                    welcome = await link.receive()
+                link, welcome = await open_link(self.net, self.address, encode(pb.Hello(
+                    version=VERSION, features=["zstd"], role=pb.CONTROLLER, name=self.controller, life=self.life)),
+                    self.limits.watch)
                 if not isinstance(welcome, pb.Welcome):
                     raise LinkLost(f"{type(welcome).__name__} in place of a welcome")
                 await self.serve(link)
             except LinkLost as error:
                 why = str(error)
-            except TimeoutError:
-                why = f"no welcome within {self.limits.watch:g} s"
-            except LOST as error:
-                why = reason(error)
             finally:
                 if link is not None:
                     await link.close()
--- a/linedeal/drmaa/agent.py
+++ b/linedeal/drmaa/agent.py
@@ -14,6 +14,7 @@
 
 import anyio
 import anyio.to_thread
+from anyio.streams.buffered import BufferedByteReceiveStream
 
 from linedeal.drmaa import errors, v1
 from linedeal.drmaa.errors import V1, DrmaaError
@@ -36,7 +37,6 @@
 
 async def unpack(stream) -> list[str]:
     """Raises BadCall, and anyio.IncompleteRead where the caller has gone."""
-    from anyio.streams.buffered import BufferedByteReceiveStream
     reader = BufferedByteReceiveStream(stream)
 
     async def number():
@@ -146,10 +146,7 @@
                     tasks.start_soon(listener.serve, agent.handle)
                     await until_left()
                     tasks.cancel_scope.cancel()
-    except* DrmaaError as group:
-        fault = group.exceptions[0]
-        while isinstance(fault, BaseExceptionGroup):
-            fault = fault.exceptions[0]
+    except DrmaaError as fault:
         tell(V1.DRMS_INIT_FAILED if fault.v1 is V1.DRM_COMMUNICATION_FAILURE else fault.v1, str(fault))
     finally:
         shutil.rmtree(place, ignore_errors=True)
--- a/linedeal/drmaa/session.py
+++ b/linedeal/drmaa/session.py
@@ -1,8 +1,8 @@
 """Job sessions in the manner of GFD.194, async: the owner's jobs under the standard's names and errors."""
 
 import time
-from contextlib import asynccontextmanager
-from typing import AsyncIterator, Iterable, Sequence
+from contextlib import asynccontextmanager, contextmanager
+from typing import AsyncIterator, Iterable, Iterator, Sequence
 
 import anyio
 
@@ -41,18 +41,13 @@
         token = token or token_of(place.customer)
     except ContactFault as error:
         raise errors.InvalidSession(str(error), V1.AUTH_FAILURE) from None
-    fault = None
     try:
         async with Owner.open(net or TcpNet(), place, token) as owner:
             yield AsyncJobSession(owner)
-    except* OwnerFault as group:
-        fault = group.exceptions[0]
-        while isinstance(fault, BaseExceptionGroup):
-            fault = fault.exceptions[0]
-    if fault is not None:
-        if "key" in str(fault):
-            raise errors.InvalidSession(str(fault), V1.AUTH_FAILURE)
-        raise errors.DrmCommunication(str(fault))
+    except OwnerFault as fault:
+        if fault.refused:
+            raise errors.InvalidSession(str(fault), V1.AUTH_FAILURE) from None
+        raise errors.DrmCommunication(str(fault)) from None
 
 
 class AsyncJobSession:
@@ -84,8 +79,7 @@
                             within: float = 60.0) -> "AsyncJobArray":
         """One job an index, all taken or none left: those taken before a refusal are ended again."""
         numbers = translate.indices(begin, end, step)
-        self.owner.numbers += 1
-        array = f"{self.owner.prefix}-{self.owner.numbers}"
+        array = self.owner.new_key()
         requests = [self.request(template, index) for index in numbers]
         with submitting():
             keys = await self.owner.submit_many(
@@ -107,7 +101,7 @@
 
     async def job(self, job_id: str) -> "AsyncJob":
         """Raises InvalidArgument where no controller knows it."""
-        with known(job_id):
+        with known_jobs():
             await self.owner.find(job_id)
         return AsyncJob(self, job_id)
 
@@ -131,7 +125,7 @@
         """Raises Timeout after so many seconds (0: only looks), InvalidArgument for a job that is not there."""
         if not keys:
             raise errors.InvalidArgument("no jobs to wait for", V1.INVALID_JOB)
-        with known(", ".join(keys[:3])):
+        with known_jobs():
             for key in keys:
                 await self.owner.find(key)
             with anyio.move_on_after(max(timeout, 0.0) if timeout != FOREVER else None):
@@ -168,7 +162,7 @@
         raise errors.UnsupportedOperation("hosts do not suspend jobs")
 
     async def order(self, kind: int) -> None:
-        with known(self.job_id):
+        with known_jobs():
             try:
                 await self.session.owner.find(self.job_id)
                 await self.session.owner.order(self.job_id, kind)
@@ -184,7 +178,7 @@
         return info_of(await self.standing())
 
     async def standing(self) -> Standing:
-        with known(self.job_id):
+        with known_jobs():
             return await self.session.owner.find(self.job_id)
 
     async def wait_started(self, timeout: float = FOREVER) -> JobInfo:
@@ -196,7 +190,7 @@
 
     async def reap(self) -> None:
         """Nothing more is kept of it. Raises InvalidState before its end."""
-        with known(self.job_id):
+        with known_jobs():
             if not (await self.session.owner.find(self.job_id)).over:
                 raise errors.InvalidState(f"{self.job_id} has not ended", V1.INVALID_JOB)
             await self.session.owner.forget(self.job_id)
@@ -222,7 +216,7 @@
         async def one(job):
             try:
                 await getattr(job, what)()
-            except errors.InvalidState as error:
+            except errors.DrmaaError as error:
                 faults.append(error)
 
         async with anyio.create_task_group() as tasks:
@@ -243,28 +237,21 @@
     return standing.over
 
 
-class submitting:
+@contextmanager
+def submitting() -> Iterator[None]:
     """Turns what a submission can meet into the standard's errors."""
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, kind, error, trace):
-        if isinstance(error, TurnedAway):
-            raise (errors.TryLater if error.retry_after else errors.DeniedByDrms)(str(error)) from None
-        if isinstance(error, TimeoutError):
-            raise errors.DrmCommunication("no controller said whether the job was taken") from None
+    try:
+        yield
+    except TurnedAway as error:
+        raise (errors.TryLater if error.retry_after else errors.DeniedByDrms)(str(error)) from None
+    except TimeoutError:
+        raise errors.DrmCommunication("no controller said whether the job was taken") from None
 
 
-class known:
+@contextmanager
+def known_jobs() -> Iterator[None]:
     """A job that no controller knows is an invalid argument."""
-
-    def __init__(self, job_id: str):
-        self.job_id = job_id
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, kind, error, trace):
-        if isinstance(error, NoSuchJob):
-            raise errors.InvalidArgument(f"no job {error.args[0]!r} in this session", V1.INVALID_JOB) from None
+    try:
+        yield
+    except NoSuchJob as error:
+        raise errors.InvalidArgument(f"no job {error.args[0]!r} in this session", V1.INVALID_JOB) from None
--- a/linedeal/drmaa/translate.py
+++ b/linedeal/drmaa/translate.py
@@ -2,7 +2,7 @@
 
 import math
 import shlex
-from dataclasses import dataclass, fields
+from dataclasses import dataclass
 from pathlib import PurePosixPath
 
 from linedeal.client.client import JobAsk
@@ -89,15 +89,21 @@
     ask = JobAsk(template.job_category, native.get("customer", template.accounting_id), service,
                  amount(native, "cores", float(template.min_slots or 1)), amount(native, "memory", 1.0), wait)
 
-    def place(text: str) -> str:
-        return text.replace(INCREMENT, str(index)) if index else text
-
     work = pb.Work(
-        name=template.job_name, command=template.remote_command, arguments=[place(arg) for arg in template.args],
-        environment=template.job_environment, directory=place(template.working_directory),
-        input=place(template.input_path), output=place(template.output_path), error=place(template.error_path),
-        join=template.join_files, index=index)
-    return Request(ask, work, template.submit_as_hold, start_in)
+        name=template.job_name, command=template.remote_command, arguments=template.args,
+        environment=template.job_environment, directory=template.working_directory, input=template.input_path,
+        output=template.output_path, error=template.error_path, join=template.join_files)
+    return Request(ask, at_index(work, index) if index else work, template.submit_as_hold, start_in)
+
+
+def at_index(work: pb.Work, index: int) -> pb.Work:
+    """The work of one job of a bulk: its index stands where the placeholder did, in arguments and paths."""
+    own = pb.Work(index=index)
+    own.MergeFrom(work)
+    own.arguments[:] = [text.replace(INCREMENT, str(index)) for text in work.arguments]
+    for path in ("directory", "input", "output", "error"):
+        setattr(own, path, getattr(work, path).replace(INCREMENT, str(index)))
+    return own
 
 
 def indices(begin: int, end: int, step: int) -> range:
@@ -111,5 +117,3 @@
                               f"begin", V1.INVALID_ARGUMENT)
     return range(begin, end + 1, step)
 
-
-ATTRIBUTES = tuple(item.name for item in fields(JobTemplate) if item.name not in UNSUPPORTED)
--- a/linedeal/drmaa/v1.py
+++ b/linedeal/drmaa/v1.py
@@ -211,7 +211,3 @@
 
 def timeout_of(seconds: int) -> float:
     return FOREVER if seconds < 0 else float(seconds)
-
-
-def number_of(error: BaseException) -> V1:
-    return error.v1 if isinstance(error, DrmaaError) else V1.INTERNAL_ERROR
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -21,13 +21,12 @@
 from linedeal.engine.sessions import Sessions
 from linedeal.engine.timers import Timers
 from linedeal.interface import Effect, Mode, Result
-from linedeal.policy import Controller
+from linedeal.policy import NEVER_RAN, Controller
 from linedeal.settings.cluster import Cluster
 
 STRAY_KEPT = 60.0       # seconds for which a launch that was given up is remembered, for a late yes
 STALL_SEEN = 0.25       # a timer this late tells that this process stood still, not that hosts were silent
 RETURN_MOST = 20        # jobs of an earlier life that go back to the module in one turn
-NEVER_RAN = (Result.UNREACHABLE, Result.UNSENT, Result.TURNED_AWAY)
 BREATH = 0.05           # what came in meanwhile is read for so long before launches are given up
 
 
@@ -75,7 +74,7 @@
         self.returning: deque[str] = deque()                # go back to the module, some a turn
         self.accounts: dict[str, recovery.Account] = {}
         self.begun = now
-        self.clients: dict[int, set[str]] = {}
+        self.clients: dict[int, set[str]] = {}  # jobs owed to each link
         self.launches: dict[on.LaunchId, Launch] = {}
         self.by_job: dict[str, Launch] = {}     # the launch that the module has out, or placed
         self.probes: dict[int, str] = {}
@@ -186,7 +185,7 @@
         self.taken[taken.job.id] = taken
         self.keys[taken.owner, taken.key] = taken.job.id
         if taken.client:
-            self.clients.setdefault(taken.client, set()).add(taken.key)
+            self.clients.setdefault(taken.client, set()).add(taken.job.id)
 
     def turned_away(self, event: on.Submitted, offering) -> str:
         """Why it is not taken, or nothing. Only here can a job be refused without an answer being owed."""
@@ -218,8 +217,7 @@
         job_id = self.keys.pop((event.session or event.client, event.key), None)
         if job_id is None:
             return
-        self.clients.get(self.taken[job_id].client, set()).discard(event.key)
-        del self.taken[job_id]
+        self.clients.get(self.taken.pop(job_id).client, set()).discard(job_id)
         known = self.pending.pop(job_id, None) is None
         if event.session:
             self.sessions.forget(self.sessions.ledger.by_job[job_id])
@@ -231,13 +229,11 @@
             self.tell(api.Withdrawn(job_id))
 
     def client_left(self, event: on.ClientLeft) -> None:
-        for key in sorted(self.clients.get(event.client, ())):
-            if (event.client, key) in self.keys:
-                self.taken_back(on.TakenBack(event.client, key))
-        for taken in self.taken.values():
-            if taken.client == event.client:
+        for taken in sorted((self.taken[job] for job in self.clients.pop(event.client, ())), key=lambda taken: taken.key):
+            if taken.session:
                 taken.client = 0        # its session owns it: it goes on, and the answer is kept
-        self.clients.pop(event.client, None)
+            else:
+                self.taken_back(on.TakenBack(event.client, taken.key))
         self.sessions.left(event.client)
 
     def answer(self, job_id: str, verdict: do.Verdict, host: str = "", launch: on.LaunchId | None = None) -> None:
@@ -246,7 +242,7 @@
         if taken is None:
             raise BrokenPromise(f"a second answer for {job_id}")
         del self.keys[taken.owner, taken.key]
-        self.clients.get(taken.client, set()).discard(taken.key)
+        self.clients.get(taken.client, set()).discard(job_id)
         self.counts[verdict.value] += 1
         entry = self.sessions.ledger.by_job.get(job_id)
         if entry is not None:
@@ -537,15 +533,14 @@
 
     def list_heard(self, event: on.ListHeard) -> None:
         entries = tuple(self.fleet.hear(self.now, listed) for listed in event.hosts)
-        known = [do.KnowHost(listed) for listed in event.hosts if listed.mode is not Mode.GONE]
-        self.out += known
+        self.out += [do.KnowHost(listed) for listed in event.hosts if listed.mode is not Mode.GONE]
         if event.whole:
             self.fleet.missing({listed.id for listed in event.hosts})
         self.tell(api.HostsListed(entries, event.whole, event.remembered))
-        if event.remembered or event.whole:
-            self.ready = True
+        every = event.whole or event.remembered
+        self.ready = self.ready or every
         self.lose_gone()
-        if event.remembered or event.whole:
+        if every:
             self.settle_pending()       # hosts may be known, or gone, by now
             self.asking.add([h.id for h in event.hosts if h.mode is not Mode.GONE
                              and not self.fleet.hosts[h.id].asked and h.id not in self.asking.waiting],
--- a/linedeal/engine/ledger.py
+++ b/linedeal/engine/ledger.py
@@ -4,7 +4,6 @@
 it: started, ended, how. The ledger keeps that course for its owner, and says which step changed what is shown.
 """
 
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -123,7 +122,3 @@
         entry.stage, entry.ended_at, entry.ran = ENDS.get(result, Stage.LOST), now, ran
         entry.reason = "" if entry.stage is Stage.DONE or why is Why.UNTOLD else why.value
         return entry
-
-    def at_host(self, host: str) -> Iterator[Entry]:
-        """In the order in which they were taken."""
-        return (entry for entry in list(self.entries.values()) if entry.host == host and entry.stage in AT_HOST)
--- a/linedeal/engine/sessions.py
+++ b/linedeal/engine/sessions.py
@@ -43,7 +43,7 @@
             engine.out.append(do.Answer(event.client, event.key, job.id, do.Verdict(entry.verdict), entry.host))
         else:
             taken = engine.taken[job.id]
-            engine.clients.get(taken.client, set()).discard(event.key)
+            engine.clients.get(taken.client, set()).discard(job.id)
             taken.client = event.client
             engine.own(taken)
         return True
--- a/linedeal/lab/inprocess.py
+++ b/linedeal/lab/inprocess.py
@@ -30,7 +30,7 @@
     async def on_disk(self, call, *args):
         return call(*args)
 
-    def time_of_day(self) -> float:
+    def journal_time(self) -> float:
         return anyio.current_time()
 
     async def wait(self, until: float) -> None:
--- a/linedeal/lab/load.py
+++ b/linedeal/lab/load.py
@@ -1,6 +1,5 @@
 """The owners of jobs: they submit, wait, and ask again where that is safe."""
 
-import zlib
 from dataclasses import dataclass, field
 from random import Random
 
@@ -38,7 +37,6 @@
         self.owners: list[Owner] = []           # of sessions, one that begins at each controller
         self.factor = 1.0                       # a burst
         self.heavy: dict[str, float] = {}       # offering: times the usual size
-        self.open = 0
 
     async def run(self) -> None:
         """Asks for the length of the day, then waits until all is answered."""
@@ -68,9 +66,8 @@
             await anyio.sleep(0.1)
 
     async def keep_session(self, place: int, *, task_status) -> None:
-        places, name = list(self.addresses.values()), f"owners-{place}"
-        first = (place - zlib.crc32(name.encode())) % len(places)      # the owner turns them by its session's name
-        async with Owner.open(self.net, Contact(tuple(places[first:] + places[:first]), name), within=10.0) as owner:
+        contact = Contact(tuple(self.addresses.values()), f"owners-{place}")
+        async with Owner.open(self.net, contact, within=10.0, first=place) as owner:
             self.owners.append(owner)
             task_status.started()
             await anyio.sleep_forever()
--- a/linedeal/lab/play.py
+++ b/linedeal/lab/play.py
@@ -3,7 +3,7 @@
 import logging
 import tempfile
 from pathlib import Path
-from typing import Callable, Iterable
+from typing import Awaitable, Callable, Iterable
 
 import anyio
 import structlog
@@ -20,6 +20,8 @@
 from linedeal.policy import Controller
 
 PROGRESS = 5.0      # seconds between two lines of progress
+QUIET = structlog.wrap_logger(structlog.PrintLogger(), wrapper_class=structlog.make_filtering_bound_logger(
+    logging.CRITICAL))
 
 
 async def play(day: Day, ground, net, say: Callable[[str], None]) -> Tally:
@@ -58,18 +60,25 @@
     return tally, read_record(directory / "traffic.jsonl")
 
 
-def play_in_memory(day: Day, say=lambda line: None, policy=Controller, runtime=Stallable) -> tuple[Tally, list[Entry]]:
-    """In this process, on trio's mock clock. The same day and seed give the same record."""
+def in_memory(day: Day, work: Callable[[InProcess], Awaitable], policy=Controller, runtime=Stallable):
+    """What `work(ground)` returns, with the day's cluster standing in this process on trio's mock clock. The same day,
+    seed and work give the same course."""
     # trio shuffles tasks that are ready at once; seeded, it does so the same way each time
     trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
     trio._core._run._r.seed(day.seed)
-    quiet = structlog.wrap_logger(structlog.PrintLogger(), wrapper_class=structlog.make_filtering_bound_logger(
-        logging.CRITICAL))
 
     async def main():
         with tempfile.TemporaryDirectory() as directory:
-            async with InProcess(day, Path(directory), quiet, policy, runtime) as ground:
-                tally = await play(day, ground, ground.net, say)
-                return tally, ground.recorder.entries
+            async with InProcess(day, Path(directory), QUIET, policy, runtime) as ground:
+                return await work(ground)
 
     return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def play_in_memory(day: Day, say=lambda line: None, policy=Controller, runtime=Stallable) -> tuple[Tally, list[Entry]]:
+    """The day's load and orders, in memory. The same day and seed give the same record."""
+    async def work(ground):
+        tally = await play(day, ground, ground.net, say)
+        return tally, ground.recorder.entries
+
+    return in_memory(day, work, policy, runtime)
--- a/linedeal/lab/report.py
+++ b/linedeal/lab/report.py
@@ -33,7 +33,7 @@
     found = []
     for offering in sorted({job.offering for job in traffic.jobs.values()}):
         jobs = [job for job in traffic.jobs.values() if job.offering == offering]
-        verdicts = [job.answers[0][1] if job.answers else None for job in jobs]
+        verdicts = [job.said[0][1] if job.said else None for job in jobs]
         delays = HdrHistogram(1, 600_000, 3)
         for job in jobs:
             started = min((launch.started for launch in job.launches), default=NEVER)
--- a/linedeal/net/base.py
+++ b/linedeal/net/base.py
@@ -83,6 +83,25 @@
             await anyio.aclose_forcefully(self.stream)
 
 
+async def open_link(net: Net, address: Address, hello: bytes, within: float) -> tuple[Link, object]:
+    """A link that has said `hello`, and the first message that came back. Raises LinkLost, also when none comes within
+    so many seconds; no link is left open then."""
+    link = None
+    try:
+        with anyio.fail_after(within):
+            link = Link(await net.connect(address))
+            await link.send(hello)
+            return link, await link.receive()
+    except BaseException as error:
+        if link is not None:
+            await link.close()
+        if isinstance(error, TimeoutError):
+            raise LinkLost(f"no welcome within {within:g} s") from None
+        if isinstance(error, LOST):
+            raise LinkLost(reason(error)) from None
+        raise
+
+
 def reason(error: Exception) -> str:
     """A plain word for what ended a link."""
     cause = error.__cause__ or error
--- a/linedeal/settings/cluster.py
+++ b/linedeal/settings/cluster.py
@@ -2,7 +2,7 @@
 
 import difflib
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 from pathlib import Path
 
 import hcl2
@@ -71,6 +71,11 @@
     keys: Keys = Keys()
 
 
+def keys_of(record) -> dict[str, tuple]:
+    """The keys of a block that is read into `record`: type and default of each field."""
+    return {field.name: (type(field.default), field.default) for field in fields(record)}
+
+
 BLOCKS = {
     "cluster": {
         "controllers": (int, NEEDED), "accepts_cores": (float, 2.0), "accepts_memory": (float, 1.5),
@@ -78,10 +83,7 @@
         "ask_within": (float, 10.0), "may_probe": (bool, True), "max_launches": (int, 6),
     },
     "young": {"time": (float, 10.0), "offers": (float, 20.0), "span": (float, 3.0)},
-    "rules": {name: (float, getattr(Rules(), name)) for name in Rules.__dataclass_fields__},
-    "limits": {name: (type(getattr(Limits(), name)), getattr(Limits(), name)) for name in Limits.__dataclass_fields__},
-    "journal": {name: (type(getattr(JournalSettings(), name)), getattr(JournalSettings(), name))
-                for name in JournalSettings.__dataclass_fields__},
+    "rules": keys_of(Rules), "limits": keys_of(Limits), "journal": keys_of(JournalSettings),
     "kind": {"cores": (float, NEEDED), "memory": (float, NEEDED)},
     "offering": {
         "expiry": (float, NEEDED), "value": (float, 1.0), "effect": (tuple(EFFECTS), NEEDED),
--- a/linedeal/state/journal.py
+++ b/linedeal/state/journal.py
@@ -212,13 +212,8 @@
                 "SELECT id FROM jobs WHERE ended < :at OR follow = 0 AND answered < :at LIMIT 5000",
                 {"at": at - keep_answers})]
             if old:
-                self.db.execute("BEGIN IMMEDIATE")
-                for job_id in old:
-                    self.drop(at, 0, do.KeepNoMore(job_id))
-                self.db.execute("COMMIT")
+                self.transact(at, 0, [do.KeepNoMore(job_id) for job_id in old])
         except sqlite3.Error as error:
-            if self.db.in_transaction:
-                self.db.execute("ROLLBACK")
             raise StoreFault(f"{self.store.path}: journal cannot be compacted: {error}") from None
         return len(old)
 
--- a/tests/ground.py
+++ b/tests/ground.py
@@ -1,19 +1,15 @@
 """A small cluster for clients: controllers and stand-in hosts in this process, over pipes in memory on a mock clock, or
 over loopback sockets in a thread of its own for clients that are programs."""
 
-import logging
 import random
 from contextlib import ExitStack, contextmanager
 
 import anyio
 import anyio.from_thread
-import structlog
-import trio
-import trio.testing
 
 from linedeal.controller.runtime import Runtime, Setup
+from linedeal.lab import play
 from linedeal.lab.day import parse_day
-from linedeal.lab.inprocess import InProcess
 from linedeal.net import TcpNet
 from linedeal.settings.cluster import parse_cluster
 from linedeal.standin.discovery import Discovery
@@ -23,8 +19,6 @@
 from tests.drive import CLUSTER
 
 CLUSTER = CLUSTER.replace("held = 5", "held = 20000").replace("controllers = 1", "controllers = 2")
-QUIET = structlog.wrap_logger(structlog.PrintLogger(), wrapper_class=structlog.make_filtering_bound_logger(
-    logging.CRITICAL))
 
 
 def in_memory(directory, work, hosts=3, habits="setup=0.1 life=1", cluster=CLUSTER):
@@ -32,14 +26,7 @@
     (directory / "cluster.hcl").write_text(cluster)
     day = parse_day(f"cluster cluster.hcl\nseed 5\nlength 1\ncontrollers 2\nhabit {habits}\nhosts {hosts} kind std\n"
                     "load web 1\n", str(directory / "x.day"), directory)
-    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
-    trio._core._run._r.seed(5)
-
-    async def main():
-        async with InProcess(day, directory, QUIET) as ground:
-            return await work(ground)
-
-    return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return play.in_memory(day, work)
 
 
 class OverSockets:
@@ -69,7 +56,7 @@
     async def start(self, name):
         store = Store(self.directory / name)
         setup = Setup(name, self.cluster, self.places.get(name, ("127.0.0.1", 0)), self.found, 7)
-        runtime = Runtime(setup, store, self.net, QUIET)
+        runtime = Runtime(setup, store, self.net, play.QUIET)
         scope = self.scopes[name] = anyio.CancelScope()
 
         async def run(*, task_status):
--- a/tests/test_drmaa.py
+++ b/tests/test_drmaa.py
@@ -346,6 +346,8 @@
     linedeal("wait", key, contact=contact, status=1)        # it did not run
     assert "no offering" in linedeal("submit", "nothing", contact=contact, status=1).stderr
     assert "--bulk 3-1" in linedeal("submit", "course-reader", "--bulk", "3-1", contact=contact, status=2).stderr
+    # a bulk needs neither a command nor a name
+    assert linedeal("submit", "course-reader", "--bulk", "2-3", "--key", "b", contact=contact).stdout.split() == ["b.2", "b.3"]
     assert "placed at h" in linedeal("submit", "course-reader", "--answer", contact=contact).stdout.replace(
         "running", "placed")
     assert linedeal("status", contact=contact).stdout.count(key) == 0 < linedeal("history", contact=contact).stdout.count(key)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -7,7 +7,7 @@
 import pytest
 
 from linedeal import interface as api
-from linedeal.client import JobAsk, TurnedAway
+from linedeal.client import Client, JobAsk, TurnedAway
 from linedeal.client.contact import Contact, ContactFault, parse_contact, token_of
 from linedeal.client.course import Next, State, View, home_away, home_back
 from linedeal.client.owner import END, HOLD, RELEASE, NoSuchJob, OrderRefused, Owner, OwnerFault
@@ -369,6 +369,19 @@
     in_memory(tmp_path, work)
 
 
+def test_an_error_in_the_block_comes_out_as_it_is(tmp_path):
+    # guards against errors that a caller cannot catch by name, since the links' task group has wrapped them
+    async def work(ground):
+        with pytest.raises(NoSuchJob):
+            async with Owner.open(ground.net, C1) as owner:
+                owner.standing("nothing")
+        with pytest.raises(TurnedAway):
+            async with Client.connect(ground.net, ("c1", 1), "t") as client:
+                await client.submit(JobAsk("nothing", "", "v", 1.0, 1.0))
+
+    in_memory(tmp_path, work)
+
+
 def test_two_clients_with_one_key_share_one_job(tmp_path):
     async def work(ground):
         async with Owner.open(ground.net, C1) as one, Owner.open(ground.net, C1) as other:
