--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -4,6 +4,7 @@
 
 from linedeal.audit import gather, judge
 from linedeal.lab.record import Recorder
+from linedeal.lab.report import rows
 from linedeal.protocol import encode, pb
 from linedeal.settings.cluster import parse_cluster
 from tests.drive import CLUSTER
@@ -354,6 +355,15 @@
     assert s.broken() == set()
 
 
+def test_a_job_whose_answer_is_told_by_its_standing_counts_as_answered():
+    # guards against a table that calls jobs unanswered whose owner came back and was told
+    s = Session()
+    s.standing(2.0, s.job(1.0), pb.STAGE_RUNNING)
+    assert s.broken() == set()
+    (row,) = rows(gather(s.r.entries))
+    assert (row.placed, row.unanswered) == (1, 0)
+
+
 def test_a_sessions_job_is_told_another_answer():
     s = Session()
     job = s.job(1.0)
--- a/tests/test_owner.py
+++ b/tests/test_owner.py
@@ -529,6 +529,18 @@
     in_memory(tmp_path, work, cluster=PAIR.replace("held = 20000", "held = 20"))
 
 
+def test_a_bulk_that_meets_a_dead_controller_times_out_by_name(tmp_path):
+    # guards against a time-out that is wrapped with the bulk's tasks, and so no caller's TimeoutError
+    async def work(ground):
+        async with Owner.open(ground.net, C1) as owner:
+            await ground.kill("c1")
+            await anyio.sleep(0.5)
+            with pytest.raises(TimeoutError):
+                await owner.submit_many([(FEED, f"b.{i}", None) for i in range(3)], within=1.0)
+
+    in_memory(tmp_path, work)
+
+
 def test_a_full_journal_turns_jobs_away_and_sees_through_what_is_taken(tmp_path):
     # guards against a controller that ends, or forgets, because a disk is full
     async def work(ground):
