Turn away names without end: one submit of 0.4 MB ended the controller

Seen: a Submit whose offering is 400,000 control characters was turned away with a reason of 1.6 MB; encoding it raised FrameError in the loop that carries out effects, and the controller died. A service's or customer's name of that size was taken, kept in memory for each job and sent on. Ruled out: keys (bounded at 200 by front.event for Submit), work (limits.work), a host's texts (cut at 200). At fault: Engine.turned_away, which bounded neither name nor echo. Test: a_name_without_end, three fields; before: FrameError and two jobs taken; after: turned away in under 1,000 bytes.

--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -28,6 +28,7 @@
 STALL_SEEN = 0.25       # a timer this late tells that this process stood still, not that hosts were silent
 RETURN_MOST = 20        # jobs of an earlier life that go back to the module in one turn
 BREATH = 0.05           # what came in meanwhile is read for so long before launches are given up
+NAME_MOST = 200         # characters of an offering's, a customer's or a service's name
 
 
 class BrokenPromise(AssertionError):
@@ -205,6 +206,10 @@
             return f"this link submits for customer {event.proven!r} only"
         if (event.session or event.client, event.key) in self.keys:
             return "this key waits already"
+        # guards against names that fill memory, and frames with them in that would be too large to send
+        longest = max(len(event.offering), len(event.customer), len(event.service))
+        if longest > NAME_MOST:
+            return f"a name of {longest} characters, at most {NAME_MOST} are taken"
         if not self.ready:
             return "no list of hosts yet"
         if self.full and event.session:
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,53 @@
+"""A client, a customer, a host or a configuration that misbehaves within the protocol, played against engine and
+module by hand. docs/hardening-review.md has the table of faults and stages."""
+
+from dataclasses import replace
+
+import pytest
+
+from linedeal import interface as api
+from linedeal.controller import translate
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
+from linedeal.engine import sessions
+from linedeal.engine.control import OrderKind
+from linedeal.engine.recovery import OldLaunch, OpenJob
+from linedeal.interface import Effect, Mode
+from linedeal.protocol import encode
+from linedeal.state import Store
+from linedeal.state.journal import Journal
+from tests.watched import Watched
+
+NAN, INF = float("nan"), float("inf")
+JOB = api.Job("c.1.1", "web", "", "s", 1.0, 1.0, 9.0)
+
+
+# customers: what do the others notice?
+
+@pytest.mark.parametrize("field", ["offering", "customer", "service"])
+def test_a_name_without_end_is_turned_away_in_few_bytes(field):
+    d = Watched()
+    turned = d.only(do.TurnAway, d.ask(1.0, **{field: "\0" * 400_000}))
+    assert len(turned) == 1 and len(encode(translate.to_client(turned[0]))) < 1000
+    assert d.only(do.SendLaunch, d.ask(1.1, key="other"))
+    d.kept(10)
+
+
+# hosts: figures that are none
+
+SAID = {
+    "use": lambda d, sent, x: [on.Used(sent.host, on.LaunchId(3, sent.number), x, x)],
+    "service": lambda d, sent, x: [on.Served(sent.host, on.LaunchId(3, sent.number), x, x)],
+    "list": lambda d, sent, x: [on.ListHeard((replace(d.engine.fleet.hosts[sent.host].listed, free_cores=x,
+                                                      free_memory=x),), False, 2)],
+    "probe": lambda d, sent, x: [on.Reported(sent.host, number, (("idle_cores", x), ("idle_memory", x)))
+                                 for number, host in d.engine.probes.items() if host == sent.host],
+    "held": lambda d, sent, x: [on.LinkUp(sent.host, 9, 1, 50.0, (
+        on.Held(on.LaunchId(3, sent.number), sent.job, on.Phase.RUNNING),
+        on.Held(on.LaunchId(1, 5), replace(JOB, cores=x, memory=x), on.Phase.RUNNING)), False)],
+    "age": lambda d, sent, x: [on.ListHeard((replace(d.engine.fleet.hosts[sent.host].listed, boot=2, age=x),),
+                                            False, 2)],
+}
+
+
+# a configuration that changed between two lives
--- /dev/null
+++ b/tests/watched.py
@@ -0,0 +1,64 @@
+"""An engine driven by hand whose every effect is kept, so that each case ends by checking the rules it can break."""
+
+from dataclasses import replace
+
+from linedeal.engine import Engine
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
+from linedeal.interface import Effect
+from linedeal.settings.cluster import parse_cluster
+from tests.drive import CLUSTER, MINE, Drive
+
+
+class Watched(Drive):
+    def __init__(self, hosts="ab", life=MINE, cluster=CLUSTER.replace("held = 5", "held = 20000"), **changes):
+        self.log = []
+        self.engine = Engine(parse_cluster(cluster), "c", life, 7, 0.0)
+        settings = replace(self.engine.cluster.settings, **changes)
+        self.engine.cluster = replace(self.engine.cluster, settings=settings)
+        self.engine.module.s = settings
+        self.engine.begin()
+        self.links, self.now = {}, 0.0
+        self.list(hosts)
+        for host in hosts:
+            self.up(host, 1)
+
+    def jump(self, now, *events):
+        effects = super().jump(now, *events)
+        self.log += [(now, effect) for effect in effects]
+        return effects
+
+    def ask(self, now, offering="web", key="k", client=1, customer="", service="s", cores=1.0, memory=1.0, wait=0.0,
+            session="", **rest):
+        return self.turn(now, on.Submitted(client, key, offering, customer, service, cores, memory, wait, session,
+                                           **rest))
+
+    def yes(self, now, sent):
+        """The host accepts a launch, and its frame has left."""
+        self.turn(now, on.Left(sent.host, self.links[sent.host], (sent.number,)))
+        return self.said(on.Accepted, sent, now)
+
+    def kept(self, until, answered=True):
+        """Rules 1 and 2 on all that was done: each job taken has one answer by `until`, nothing goes out after it, and
+        an irreversible job that may have run is neither sent again nor rejected."""
+        self.rest(until)
+        taken, answers, sent = {}, {}, {}
+        for now, effect in self.log:
+            match effect:
+                case do.Take(_, _, job):
+                    taken.setdefault(job, now)
+                case do.SendLaunch(_, _, job):
+                    assert job.id not in answers, f"{job.id} was sent after its answer"
+                    sent.setdefault(job.id, []).append(effect)
+                    offering = self.engine.cluster.settings.offerings.get(job.offering)
+                    if offering and offering.effect is Effect.IRREVERSIBLE:
+                        assert len(sent[job.id]) == 1, f"{job.id} was sent twice"
+                case do.Answer(_, _, job, verdict):
+                    assert job not in answers, f"{job} was answered twice"
+                    answers[job] = verdict.value
+        if answered:
+            owed = [job for job in taken if job not in answers and job not in self.put_back]
+            assert not owed, f"never answered: {owed}"
+        return answers
+
+    put_back = ()
