Keep an eighth of what a controller holds for customers below an even share

Seen: 40 jobs of one customer filled limits.held = 40; every other customer was turned away until they were answered. Ruled out: counting by link (one customer may have many). At fault: the bound in Engine.turned_away, one pool for all.

--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -14,6 +14,7 @@
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
 from linedeal.engine import launches, recovery
+from linedeal.engine.admission import may_take
 from linedeal.engine.asking import Asking, again_after
 from linedeal.engine.fleet import Fleet, HostRecord
 from linedeal.engine.launches import Launch, State
@@ -68,6 +69,7 @@
         self.ready = False          # a list has been heard, so that jobs can be taken
         self.taken: dict[str, Taken] = {}
         self.keys: dict[tuple[int | str, str], str] = {}     # by owner and key
+        self.holds: dict[str, int] = {}                      # how many of them each customer has
         self.sessions = Sessions(self)
         self.full = False           # the journal has room for what is taken only
         self.pending: dict[str, recovery.OpenJob] = {}      # of an earlier life, not settled yet
@@ -185,11 +187,23 @@
     def own(self, taken: Taken) -> None:
         self.taken[taken.job.id] = taken
         self.keys[taken.owner, taken.key] = taken.job.id
+        if taken.job.id not in self.taken:
+            self.holds[taken.job.customer] = self.holds.get(taken.job.customer, 0) + 1
         if taken.client:
             self.clients.setdefault(taken.client, set()).add(taken.job.id)
 
     def turned_away(self, event: on.Submitted, offering) -> str:
         """Why it is not taken, or nothing. Only here can a job be refused without an answer being owed."""
+    def disown(self, job_id: str) -> Taken | None:
+        taken = self.taken.pop(job_id, None)
+        if taken is not None:
+            del self.keys[taken.owner, taken.key]
+            self.clients.get(taken.client, set()).discard(job_id)
+            self.holds[taken.job.customer] -= 1
+            if not self.holds[taken.job.customer]:
+                del self.holds[taken.job.customer]
+        return taken
+
         if offering is None:
             return f"no offering {event.offering!r}"
         if not (0 < event.cores < float("inf") and 0 < event.memory < float("inf")):
@@ -214,15 +228,16 @@
             return "no list of hosts yet"
         if self.full and event.session:
             return "the journal is full"
-        if len(self.taken) >= self.cluster.limits.held:
+        if not may_take(len(self.taken), self.cluster.limits.held, self.holds.get(event.customer, 0),
+                        len(self.holds)):
             return "too many jobs are held"
         return ""
 
     def taken_back(self, event: on.TakenBack) -> None:
-        job_id = self.keys.pop((event.session or event.client, event.key), None)
+        job_id = self.keys.get((event.session or event.client, event.key))
         if job_id is None:
             return
-        self.clients.get(self.taken.pop(job_id).client, set()).discard(job_id)
+        self.disown(job_id)
         known = self.pending.pop(job_id, None) is None
         if event.session:
             self.sessions.forget(self.sessions.ledger.by_job[job_id])
@@ -243,11 +258,9 @@
 
     def answer(self, job_id: str, verdict: do.Verdict, host: str = "", launch: on.LaunchId | None = None) -> None:
         """The one way in which a job is answered: it is owed nothing from then on."""
-        taken = self.taken.pop(job_id, None)
+        taken = self.disown(job_id)
         if taken is None:
             raise BrokenPromise(f"a second answer for {job_id}")
-        del self.keys[taken.owner, taken.key]
-        self.clients.get(taken.client, set()).discard(job_id)
         self.counts[verdict.value] += 1
         entry = self.sessions.ledger.by_job.get(job_id)
         if entry is not None:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -33,6 +33,18 @@
     d.kept(10)
 
 
+def test_one_customer_cannot_use_up_what_a_controller_may_hold():
+    d = Watched()
+    d.list("ab", 0.1, mode=Mode.DRAINING)     # all wait
+    d.engine.cluster = replace(d.engine.cluster, limits=replace(d.engine.cluster.limits, held=40))
+    crowd = [d.ask(1.0, key=f"k{i}", customer="crowd") for i in range(60)]
+    others = [d.ask(1.1, key=f"o{i}", customer=f"school{i}", client=2) for i in range(4)]
+    assert sum(len(d.only(do.Take, effects)) for effects in crowd) == 35
+    assert all(d.only(do.Take, effects) for effects in others)
+    assert d.only(do.TurnAway, crowd[-1])[0].retry_after > 0
+    assert set(d.kept(10).values()) == {"rejected"}
+
+
 # hosts: figures that are none
 
 SAID = {
