Drop kept answers of the customer that has most, not the oldest of all

Ruled out: forgetting by time (answers_kept), which is each entry's own. At fault: Sessions.keep_for_a_while, one list for all.

--- a/linedeal/engine/sessions.py
+++ b/linedeal/engine/sessions.py
@@ -20,7 +20,9 @@
         self.ledger = Ledger()
         self.followers: dict[str, dict[int, None]] = {}         # links that are told of each change, by session
         self.unaccounted: dict[str, list[Entry]] = {}           # placed by an earlier life, by host
-        self.over: dict[tuple[str, str], None] = {}             # kept after their end, oldest first
+        self.over: dict[str, dict[tuple[str, str], None]] = {}  # kept after their end, by customer, oldest first
+        self.kept = 0                                           # how many these are
+        self.minded: set[str] = set()                           # jobs with a timer for the end of their hold
 
     # -- taking
 
@@ -231,7 +233,7 @@
 
     def forget_due(self, key: tuple[str, str]) -> None:
         entry = self.ledger.entries.get(key)
-        if entry is None or key not in self.over:
+        if entry is None or key not in self.over.get(entry.job.customer, ()):
             return
         since = entry.ended_at if entry.follow else entry.ended_at or entry.placed_at
         if self.engine.now >= since + self.engine.cluster.journal.answers_kept - 1e-6:
@@ -239,15 +241,24 @@
 
     def forget(self, entry: Entry) -> None:
         self.ledger.drop(entry)
-        self.over.pop((entry.session, entry.key), None)
+        mine = self.over.get(entry.job.customer, {})
+        if (entry.session, entry.key) in mine:
+            del mine[entry.session, entry.key]
+            self.kept -= 1
+            if not mine:
+                del self.over[entry.job.customer]
         self.engine.out.append(do.KeepNoMore(entry.job.id))
 
     def keep_for_a_while(self, entry: Entry, passed: float = 0.0) -> None:
         engine, key = self.engine, (entry.session, entry.key)
-        self.over[key] = None
+        mine = self.over.setdefault(entry.job.customer, {})
+        self.kept += key not in mine
+        mine[key] = None
         engine.timers.arm(engine.now + max(0.0, engine.cluster.journal.answers_kept - passed), "forget", key)
-        if len(self.over) > KEPT_MOST:
-            self.forget(self.ledger.entries[next(iter(self.over))])
+        if self.kept > KEPT_MOST:
+            # of the customer that has most: an answer that another has not seen is asked for again, and would run twice
+            most = max(self.over.values(), key=len)
+            self.forget(self.ledger.entries[next(iter(most))])
 
     # -- what an earlier life left
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -45,6 +45,21 @@
     assert set(d.kept(10).values()) == {"rejected"}
 
 
+def test_one_customers_ended_jobs_do_not_push_out_anothers_answer(monkeypatch):
+    # a kept answer that goes unseen is asked for again, and an irreversible job would run twice
+    monkeypatch.setattr(sessions, "KEPT_MOST", 10)
+    d = Watched()
+    press = d.only(do.SendLaunch, d.ask(1.0, "feed", "press", customer="paper", session="p"))[0]
+    d.yes(1.1, press)
+    for i in range(40):
+        sent = d.only(do.SendLaunch, d.ask(1.2 + i / 100, key=f"k{i}", customer="crowd", session="c"))[0]
+        d.yes(1.2 + i / 100, sent)
+        d.turn(1.2 + i / 100, on.Over(sent.host, on.LaunchId(3, sent.number), api.Result.DONE, api.Why.UNTOLD))
+    assert len(d.engine.sessions.ledger.entries) <= 12
+    effects = d.ask(2.0, "feed", "press", customer="paper", session="p", client=9)
+    assert [a.verdict for a in d.only(do.Answer, effects)] == [do.Verdict.PLACED] and not d.only(do.SendLaunch, effects)
+
+
 # hosts: figures that are none
 
 SAID = {
