Bound the shapes tried in one settling: thousands of sizes stood still all others

Seen: 1,996 waiting jobs of different sizes cost 1,996 choices over all hosts in one turn, whatever else waited. Ruled out: passing over larger sizes than one refused (a service's use and its spread tell each shape apart). At fault: Controller.settle, which had no bound. It goes on where it stopped in the next turns, so nobody starves.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -50,6 +50,9 @@
 LAST_MOMENT = 0.03          # seconds before a job's expiry at which waiting ends
 YOUNG_SHARE, YOUNG_SPAN = 0.8, 1.1  # of the offers and the span that a young host bears, for all controllers
 PATIENCE = 0.25             # share of an offering's expiry that a launch may take to be accepted
+USE_MOST = 4.0              # times its ask: what a job uses beyond that tells nothing of others
+SERVICES = 4096             # services remembered; past that those without a job go, unseen for longest first
+TRIES = 100                 # jobs that are refused in one settling, which others' events wait for
 
 NEVER_RAN = (Result.TURNED_AWAY, Result.UNREACHABLE, Result.UNSENT)
 ROOM, RUNS, NEVER = "room", "runs", float("inf")
@@ -150,6 +153,8 @@
         self.asks = 0
         self.room_made = False
         self.out = []
+        self.refused = None         # shapes that found no room in the settling that goes on, if any
+        self.strange = set()        # hosts of kinds that no setting names
 
     # -- events
 
@@ -191,20 +196,30 @@
     def settle(self, now):
         """Offers room that has come free to those who wait, in the order in which they deserve it."""
         self.now, self.out = now, []
-        if self.room_made and self.waiting:
-            refused = set()
-            for track in sorted(self.waiting.values(), key=self.claim):
-                shape = (track.offering.name, track.job.cores, track.job.memory, track.risk,
-                         track.offering.place is Place.NONE or track.job.service)
-                if shape in refused:
-                    continue
-                host = self.choose(track)
-                if host:
-                    del self.waiting[track.job.id]
-                    self.step(track, host)
-                else:
-                    refused.add(shape)
-        self.room_made = False
+        if self.room_made and self.refused is None:
+            self.room_made, self.refused = False, set()
+        if self.refused is None:
+            return self.out
+        tries = 0
+        for track in sorted(self.waiting.values(), key=self.claim):
+            shape = (track.offering.name, track.job.cores, track.job.memory, track.risk,
+                     track.offering.place is Place.NONE or track.job.service)
+            if shape in self.refused:
+                continue
+            if tries == TRIES:
+                # guards against one customer's thousands of sizes: the rest is looked at in the turns to come
+                self.timer(0.0, "rest")
+                return self.out
+            host = self.choose(track)
+            if host:
+                del self.waiting[track.job.id]
+                self.step(track, host)
+            else:
+                tries += 1
+                self.refused.add(shape)
+        self.refused = None
+        if self.room_made:      # came free while it went on
+            self.timer(0.0, "rest")
         return self.out
 
     def timer(self, delay, key):
@@ -558,6 +573,7 @@
             cores = max(cores, busy * size.cores - own[2])
         else:
             memory = max(memory, value * size.memory - own[3])
+            value = min(value, USE_MOST * ask)
         host.used = (cores, memory)
         if what == "served" and value < POOR:
             # guards against a jam that planned use does not show; covers slow and half-dead hosts too;
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -60,6 +60,24 @@
     assert [a.verdict for a in d.only(do.Answer, effects)] == [do.Verdict.PLACED] and not d.only(do.SendLaunch, effects)
 
 
+def test_thousands_of_shapes_that_wait_cost_a_bounded_number_of_tries_a_turn(monkeypatch):
+    d = Watched()
+    d.list("ab", 0.1, mode=Mode.DRAINING)
+    for i in range(2000):       # half of the sizes grow, half fall: none says anything of the next
+        d.ask(0.2, key=f"k{i}", cores=1.0 + i / 1000, memory=4.0 - i / 1000)
+    tries, choose = [], d.engine.module.choose
+    monkeypatch.setattr(d.engine.module, "choose", lambda track: tries.append(track) or choose(track))
+    d.list("ab", 0.3, mode=Mode.DRAINING)
+    assert 0 < len(tries) <= 200
+    d.turn(0.4)     # the turns after it look at the rest
+    for _ in range(30):
+        d.rest(d.now + 0.01)
+    assert len(tries) >= 1500
+    sent = d.only(do.SendLaunch, d.list("ab", 0.8, free_cores=9.0, free_memory=18.0))
+    assert sent and sent[0].job.id == "c.3.1"      # the first of the order is not passed over
+    d.kept(7)
+
+
 # hosts: figures that are none
 
 SAID = {
