Forget services without a job past 4,096: a new name each time filled memory

Seen: 6,000 jobs of new service names left 6,001 records, for the life of the controller. At fault: Controller.track, which only added.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -68,6 +68,7 @@
     answer: float = 0.0         # seconds that hosts lately took to confirm
     mark: int = 0               # of its name, as a host has one of its id: together they tell its homes
     there: dict = field(default_factory=dict)   # launches without an outcome, by place of the spread
+    tracks: int = 0             # jobs in this controller's care
 
 
 @dataclass(slots=True, eq=False)
@@ -227,15 +228,26 @@
 
     def track(self, job):
         offering = self.s.offerings[job.offering]
-        service = self.services.get(job.service)
+        service = self.services.pop(job.service, None)
         if service is None:
             usual = self.usual[job.offering]
             service = Service(usual.cores, usual.memory, mark=crc32(job.service.encode()))
-            self.services[job.service] = service
+            # guards against a new name for each job; a service in use stays, or its spread would be lost
+            while len(self.services) >= SERVICES:
+                idle = next((name for name, known in self.services.items() if not known.tracks), None)
+                if idle is None:
+                    break
+                del self.services[idle]
+        self.services[job.service] = service
+        service.tracks += 1
         track = self.tracks[job.id] = Track(job, offering, service)
         track.life = self.life(track)
         return track
 
+    def forget(self, track):
+        if self.tracks.pop(track.job.id, None):
+            track.service.tracks -= 1
+
     def arrived(self, job, risk):
         if self.s.may_probe and self.hosts:     # one a job, however many hosts and controllers there are
             host = min(self.hosts.values(), key=lambda host: (host.entry.mode is Mode.GONE, host.probed))
@@ -262,7 +274,7 @@
             track.ended = True
             self.waiting.pop(job_id, None)
             if track.host is None:
-                del self.tracks[job_id]
+                self.forget(track)
 
     def woken(self, key):
         if key == "room":
@@ -309,7 +321,7 @@
                     self.out.append(stop.value)
                 track.ended = True
                 if track.host is None:
-                    self.tracks.pop(track.job.id, None)
+                    self.forget(track)
                 return
             if want is RUNS:
                 track.ended = True
@@ -525,7 +537,7 @@
             host.ill[name] = (self.marked(host, f"errs on {name}", SILENT_MARK, ILL_MOST, count), count + 1)
         track.ended = track.ended or closed
         if track.ended or track.confirmed:
-            self.tracks.pop(job_id, None)
+            self.forget(track)
         else:
             self.step(track, result)
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -78,6 +78,28 @@
     d.kept(7)
 
 
+def test_a_service_of_a_new_name_for_each_job_is_forgotten_in_time():
+    d = Watched()
+    for i in range(6000):
+        d.ask(1.0 + i / 1e6, service=f"s{i}", key=f"k{i}", cores=0.001, memory=0.001)
+        d.turn(1.0 + i / 1e6, on.TakenBack(1, f"k{i}"))
+    for launch in list(d.engine.launches.values()):
+        d.turn(2.0, on.Refused(launch.host, launch.id, api.Why.UNTOLD, ""))
+    d.ask(2.1, service="last", key="last")
+    assert len(d.engine.module.services) <= 4200
+
+
+def test_a_service_in_use_is_not_forgotten_so_its_spread_is_kept(monkeypatch):
+    from linedeal import policy
+    monkeypatch.setattr(policy, "SERVICES", 5)
+    d = Watched("a")
+    d.yes(1.0, d.only(do.SendLaunch, d.ask(1.0, "pair", service="old"))[0])
+    for i in range(20):
+        d.yes(1.1, d.only(do.SendLaunch, d.ask(1.1, service=f"s{i}", key=f"k{i}", cores=0.01))[0])
+    assert not d.only(do.SendLaunch, d.ask(1.2, "pair", service="old", key="again"))    # one a host
+    assert not d.only(do.SendLaunch, d.rest(6.0))
+
+
 # hosts: figures that are none
 
 SAID = {
