Mark hosts that err by offering and customer: failing work took them from others

Seen: three failing jobs of one customer kept 16 jobs of another off the hosts they had failed on. Ruled out: counting errors of two services first (a host that fails fast would take more jobs meanwhile). At fault: Controller.launch_ended, whose mark held for the offering, whoever's job failed.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -113,7 +113,7 @@
     silent_until: float = 0.0
     fails: int = 0
     refusals: int = 0                       # in a row
-    ill: dict = field(default_factory=dict) # by offering: until when, after how many errors
+    ill: dict = field(default_factory=dict) # by offering and customer: until when, after how many errors
     sends: deque = field(default_factory=lambda: deque(maxlen=500))
     programs: dict = field(default_factory=dict)    # launches of each service; 0: its program may be kept
     probed: float = 0.0
@@ -347,7 +347,7 @@
 
     def choose(self, track):
         # hosts that answer an offering with errors; where all do, the fault is elsewhere and none is ill
-        offers, name = [], track.offering.name
+        offers, name = [], (track.offering.name, track.job.customer)
         ill = [host for host in self.hosts.values() if host.ill and host.ill.get(name, (0.0,))[0] > self.now]
         ill = ill if len(ill) < len(self.hosts) else ()
         self.usual_load()
@@ -505,7 +505,7 @@
         track.started = track.started or self.s.starts_confirmed
         track.host.fails = track.host.refusals = 0
         if track.host.ill:
-            track.host.ill.pop(track.offering.name, None)
+            track.host.ill.pop((track.offering.name, track.job.customer), None)
         if not track.ended:
             self.step(track, None)
 
@@ -531,10 +531,12 @@
                 host.programs.pop(track.job.service, None)
         elif result is Result.ERROR:
             # guards against a host that fails one kind of job fast and so seems to have the most room;
-            # covers any fault bound to host and offering; harmful if it is over long before its mark
-            name = track.offering.name
+            # covers any fault bound to host and offering; harmful if it is over long before its mark. By
+            # customer: work that always fails, wherever it runs, would take the hosts from the others
+            name = track.offering.name, track.job.customer
             count = host.ill.get(name, (0.0, 0))[1]
-            host.ill[name] = (self.marked(host, f"errs on {name}", SILENT_MARK, ILL_MOST, count), count + 1)
+            until = self.marked(host, f"errs on {name[0]}", SILENT_MARK, ILL_MOST, count)
+            host.ill[name] = (until, count + 1)
         track.ended = track.ended or closed
         if track.ended or track.confirmed:
             self.forget(track)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -100,6 +100,20 @@
     assert not d.only(do.SendLaunch, d.rest(6.0))
 
 
+def test_one_customers_failing_jobs_do_not_take_hosts_from_the_others():
+    d = Watched("abcd")
+    for i in range(3):
+        sent = d.only(do.SendLaunch, d.ask(1.0 + i / 10, key=f"bad{i}", customer="bad", service="bad"))[0]
+        d.yes(1.0 + i / 10, sent)
+        d.turn(1.0 + i / 10, on.Over(sent.host, on.LaunchId(3, sent.number), api.Result.ERROR, api.Why.UNTOLD))
+    sent = d.only(do.SendLaunch, [e for i in range(16) for e in
+                                  d.ask(1.4, key=f"g{i}", customer="good", service=f"g{i}", cores=4.0, memory=0.1)])
+    assert {launch.host for launch in sent} == set("abcd")
+    for launch in sent:
+        d.yes(1.5, launch)
+    d.kept(10)
+
+
 # hosts: figures that are none
 
 SAID = {
