Keep one timer for the end of a hold, however often a job is held and released

Ruled out: the module's own timers, which end with the job's expiry. At fault: Sessions.set_aside, which armed one each time.

--- a/linedeal/engine/sessions.py
+++ b/linedeal/engine/sessions.py
@@ -67,7 +67,8 @@
         entry.job.expiry = float("inf")
         if entry.stage is Stage.LATER:
             engine.timers.arm(engine.now + start_in, "later", entry.job.id)
-        else:
+        elif entry.job.id not in self.minded:       # one a job, however often it is held and released
+            self.minded.add(entry.job.id)
             engine.timers.arm(engine.now + engine.cluster.limits.hold, "held too long", entry.job.id)
 
     def go_on(self, entry: Entry) -> None:
@@ -87,9 +88,13 @@
         # guards against jobs that are held for ever: they count against what this controller may hold
         engine, entry = self.engine, self.ledger.by_job.get(job_id)
         if entry is not None and entry.stage is Stage.HELD:
-            if engine.now < engine.taken[job_id].held_since + engine.cluster.limits.hold:
-                return      # released and held again meanwhile: the newer hold has its own timer
+            ends = engine.taken[job_id].held_since + engine.cluster.limits.hold
+            if engine.now < ends:       # released and held again meanwhile
+                self.minded.add(job_id)
+                engine.timers.arm(ends, "held too long", job_id)
+                return
             entry.reason = f"held for {engine.cluster.limits.hold:g} s"
+        self.minded.discard(job_id)
             engine.answer(job_id, do.Verdict.REJECTED)
 
     # -- orders
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -114,6 +114,17 @@
     d.kept(10)
 
 
+def test_an_order_repeated_without_end_leaves_no_timers_behind():
+    d = Watched()
+    d.ask(1.0, session="s", hold=True)
+    for i in range(300):
+        d.turn(1.0 + i * 0.1, on.Ordered(1, "s", "k", OrderKind.RELEASE if i % 2 == 0 else OrderKind.HOLD))
+        for launch in list(d.engine.launches.values()):
+            d.turn(d.now, on.Refused(launch.host, launch.id, api.Why.UNTOLD, ""))
+        d.list("ab", d.now, free_cores=-9.0)        # so that it is never placed, and can be held again
+    assert sum(kind == "held too long" for _, _, kind, _ in d.engine.timers.heap) <= 2
+
+
 # hosts: figures that are none
 
 SAID = {
