Reckon with figures only: one host's NaN or a tiny ask stopped all placing

Seen: one Use of infinite, NaN or huge cores made the use ratio over all hosts no number, and no job was placed any more anywhere; a job that asked 1e-9 cores and used 0.01 taught its offering a use of millions of times the ask. A list entry of -1e300 free cores filled all hosts that no list had told of. At fault: Controller.noted, probed, list_one, found and usual_load, which took any figure.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -260,7 +260,7 @@
 
     def found(self, job, host_id):
         host = self.hosts.get(host_id)
-        if host is None or job.id in self.tracks:
+        if host is None or job.id in self.tracks or not sound(job.cores, job.memory):
             return
         track = self.track(job)
         track.ended = track.confirmed = track.started = True
@@ -413,8 +413,10 @@
         self.use_ratio = [(own[i + 2] + PRIOR_ASK * UNKNOWN_USE) / (own[i] + PRIOR_ASK) for i in (0, 1)]
         heard = [host for host in hosts if host.asked]
         if heard:
-            self.mean_asked = (sum(host.asked[0] / host.size.cores for host in heard) / len(heard),
-                               sum(host.asked[1] / host.size.memory for host in heard) / len(heard))
+            s = self.s      # at most what a host accepts: one host's odd figure is not all hosts'
+            self.mean_asked = (
+                sum(min(s.accepts_cores, host.asked[0] / host.size.cores) for host in heard) / len(heard),
+                sum(min(s.accepts_memory, host.asked[1] / host.size.memory) for host in heard) / len(heard))
 
     def others_ask(self, host):
         return host.asked or (self.mean_asked[0] * host.size.cores, self.mean_asked[1] * host.size.memory)
@@ -559,16 +561,19 @@
 
     def noted(self, job_id, what, value):
         track = self.tracks.get(job_id)
-        if track is None or track.host is None:
+        if track is None or track.host is None or not sound(value):
             return
         job = track.job
         if what == "started":
             track.started = True
             track.host.tally()
         elif what in ("cores", "memory"):
-            ask = getattr(job, what)
+            # guards against a tiny ask, or a host's figure beyond all sense: one job's use goes into that of
+            # its service, of its offering and of all hosts
+            ask, value = getattr(job, what), min(value, getattr(track.host.size, what))
             setattr(track, what, value)
             for known, weight in ((track.service, USE_WEIGHT), (self.usual[job.offering], USE_WEIGHT / 10)):
+            value = min(value, USE_MOST * ask)
                 old = getattr(known, what)
                 setattr(known, what, old + weight * (value / ask - old))
             service = track.service
@@ -587,7 +592,6 @@
             cores = max(cores, busy * size.cores - own[2])
         else:
             memory = max(memory, value * size.memory - own[3])
-            value = min(value, USE_MOST * ask)
         host.used = (cores, memory)
         if what == "served" and value < POOR:
             # guards against a jam that planned use does not show; covers slow and half-dead hosts too;
@@ -602,7 +606,7 @@
             self.silent(host)
             return
         host.fails, host.silent_until = 0, min(host.silent_until, self.now)
-        if "idle_cores" in report and "idle_memory" in report:
+        if sound(report.get("idle_cores"), report.get("idle_memory"), least=-NEVER):
             own = host.own
             host.used_heard = self.now
             host.used = blend(host.used, (host.size.cores - report["idle_cores"] - own[2],
@@ -639,7 +643,7 @@
             host.programs = {service: count for service, count in host.programs.items() if count}
             host.asked = host.used = None
         host.entry = entry
-        if entry.free_cores is not None and entry.mode is not Mode.GONE:
+        if entry.mode is not Mode.GONE and sound(entry.free_cores, entry.free_memory or 0.0, least=-NEVER):
             own = host.own
             if host.used and host.used_heard < self.now - USED_VALID:
                 host.used = blend(host.used, self.others_use(host))
@@ -653,6 +657,11 @@
     return [offer for offer in offers if offer[0] == least]
 
 
+def sound(*figures, least=0.0):
+    """Whether they can be reckoned with. Guards all hosts' sums against one host's word that is no figure."""
+    return all(figure is not None and least <= figure < NEVER and figure != -NEVER for figure in figures)
+
+
 def blend(old, new):
     return new if old is None else tuple(a + HEARD_WEIGHT * (b - a) for a, b in zip(old, new))
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -142,4 +142,41 @@
 }
 
 
+@pytest.mark.parametrize("figure", [NAN, INF, -INF, -1e300, 1e300, 1e9])
+@pytest.mark.parametrize("what", SAID)
+def test_a_hosts_figure_that_is_none_harms_no_other_host(what, figure):
+    d = Watched("abc")
+    sent = d.only(do.SendLaunch, d.ask(1.0))[0]
+    d.yes(1.1, sent)
+    d.turn(1.2, *SAID[what](d, sent, figure))
+    d.rest(1.9)
+    more = [d.only(do.SendLaunch, d.ask(2.0, key=f"k{i}", service=f"new{i}", cores=0.5)) for i in range(12)]
+    assert all(more), f"{sum(map(bool, more))} of 12 were sent"
+    assert all(-INF < figure < INF for service in d.engine.module.usual.values()
+               for figure in (service.cores, service.memory))
+    d.kept(20)
+
+
+def test_one_hosts_figures_do_not_fill_those_that_no_list_has_told_of():
+    d = Watched("ab")
+    d.turn(1.0, on.ListHeard((replace(d.engine.fleet.hosts["a"].listed, free_cores=-1e300, free_memory=-1e300),
+                              replace(d.engine.fleet.hosts["b"].listed, id="c", free_cores=None, free_memory=None)),
+                             False, 2))
+    d.ask(1.5)
+    module = d.engine.module
+    assert module.room(next(iter(module.tracks.values())), module.hosts["c"]) >= 0
+    d.kept(9)
+
+
+def test_a_tiny_ask_says_nothing_of_the_offerings_other_jobs():
+    d = Watched()
+    for i in range(30):
+        sent = d.only(do.SendLaunch, d.ask(1.0, key=f"t{i}", customer="tiny", service="tiny", cores=1e-9, memory=1e-9))[0]
+        d.yes(1.0, sent)
+        for _ in range(5):
+            d.turn(1.0, on.Used(sent.host, on.LaunchId(3, sent.number), 0.01, 0.01))
+    assert d.only(do.SendLaunch, d.ask(1.1, key="good", service="good", cores=2.0, memory=2.0))
+    d.kept(20)
+
+
 # a configuration that changed between two lives
