Leave out hosts of a kind that no setting names, and say so once

Seen: such a host was taken for one of 1 core and 1 of memory, whatever it had, and was sent small jobs. Ruled out: refusing the whole list (one strange host would stop the others' news). At fault: Controller.list_one.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -637,8 +637,12 @@
     def list_one(self, entry):
         host = self.hosts.get(entry.id)
         if host is None:
-            host = self.hosts[entry.id] = Host(entry, self.s.kinds.get(entry.kind) or api.Kind(1.0, 1.0),
-                                                 mark=crc32(entry.id.encode()))
+            if entry.kind not in self.s.kinds:      # what it has room for cannot be known
+                if entry.id not in self.strange and len(self.strange) < SERVICES:
+                    self.strange.add(entry.id)
+                    self.out.append(api.Log(f"{entry.id} is left out: no setting names its kind {entry.kind!r}"))
+                return
+            host = self.hosts[entry.id] = Host(entry, self.s.kinds[entry.kind], mark=crc32(entry.id.encode()))
         if entry.booted > host.entry.booted:
             host.programs = {service: count for service, count in host.programs.items() if count}
             host.asked = host.used = None
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -179,4 +179,12 @@
     d.kept(20)
 
 
+def test_a_host_of_a_kind_that_no_setting_names_is_sent_nothing():
+    d = Watched("")
+    d.list("a", 1.0, kind="unheard of")
+    assert not d.only(do.SendLaunch, d.ask(1.1, cores=0.1, memory=0.1))
+    d.list("ab", 1.2)
+    assert set(d.kept(9, answered=False).values()) <= {"placed", "rejected"}
+
+
 # a configuration that changed between two lives
