Go on with a job though the host of its first launch is gone: a release ended the controller

Seen: a redoable job launched once without an answer, held, and released after its host had gone for good: the module looked the host up and raised KeyError, which ended the controller, and its next life again at each release. A labelled job on its way back after a restart met the same. At fault: Controller.arrived. A labelled job without its host has no group to go on in, and is written off in time.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -153,9 +153,9 @@
         self.use_ratio, self.mean_asked = (UNKNOWN_USE, UNKNOWN_USE), (0.5, 0.5)
         self.asks = 0
         self.room_made = False
-        self.out = []
         self.refused = None         # shapes that found no room in the settling that goes on, if any
         self.strange = set()        # hosts of kinds that no setting names
+        self.out = []
 
     # -- events
 
@@ -255,7 +255,7 @@
             self.out.append(api.Probe(host.entry.id))
         track = self.track(job)
         if risk:
-            track.risk = self.hosts[risk[0]], risk[1]
+            track.risk = self.hosts.get(risk[0]), risk[1]   # None: gone since, and its group with it
         self.step(track, None)
 
     def found(self, job, host_id):
@@ -440,7 +440,8 @@
                 return False
             if offering.effect is Effect.LABELLED:
                 over = at + offering.window - LAST_MOMENT
-                if self.now >= over or place_of(offering.group, first) != place_of(offering.group, host):
+                if self.now >= over or first is None or (
+                        place_of(offering.group, first) != place_of(offering.group, host)):
                     return False
         if entry.booted and self.now < entry.booted + self.s.cold_time:
             if self.now < self.begun + self.s.young_span:   # an earlier life's sends there are not known
@@ -572,8 +573,8 @@
             # its service, of its offering and of all hosts
             ask, value = getattr(job, what), min(value, getattr(track.host.size, what))
             setattr(track, what, value)
-            for known, weight in ((track.service, USE_WEIGHT), (self.usual[job.offering], USE_WEIGHT / 10)):
             value = min(value, USE_MOST * ask)
+            for known, weight in ((track.service, USE_WEIGHT), (self.usual[job.offering], USE_WEIGHT / 10)):
                 old = getattr(known, what)
                 setattr(known, what, old + weight * (value / ask - old))
             service = track.service
@@ -656,16 +657,16 @@
                           max(0.0, host.size.memory - (entry.free_memory or 0.0) - own[1]))
 
 
-def least_change(offers):
-    least = min(offer[0] for offer in offers)
-    return [offer for offer in offers if offer[0] == least]
-
-
 def sound(*figures, least=0.0):
     """Whether they can be reckoned with. Guards all hosts' sums against one host's word that is no figure."""
     return all(figure is not None and least <= figure < NEVER and figure != -NEVER for figure in figures)
 
 
+def least_change(offers):
+    least = min(offer[0] for offer in offers)
+    return [offer for offer in offers if offer[0] == least]
+
+
 def blend(old, new):
     return new if old is None else tuple(a + HEARD_WEIGHT * (b - a) for a, b in zip(old, new))
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -188,3 +188,33 @@
 
 
 # a configuration that changed between two lives
+
+def test_a_job_goes_on_though_the_host_of_its_risk_is_gone():
+    d = Watched("a")
+    sent = d.only(do.SendLaunch, d.ask(1.0, session="s"))[0]
+    d.turn(1.0, on.Left("a", 1, (sent.number,)))
+    d.list("ab", 1.1, mode=Mode.DRAINING)
+    d.down("a", 1.2)                                            # it may have run there
+    d.turn(1.3, on.Ordered(1, "s", "k", OrderKind.HOLD))
+    d.list("b", 70.0)                                           # a is gone for good
+    d.up("b", 1, 70.0)
+    again = d.only(do.SendLaunch, d.turn(71.0, on.Ordered(1, "s", "k", OrderKind.RELEASE)))
+    assert [launch.host for launch in again] == ["b"]
+    d.yes(71.1, again[0])
+    assert d.kept(90.0) == {sent.job.id: "placed"}
+
+
+def test_a_labelled_job_whose_first_host_is_gone_has_no_group_to_go_on_in():
+    d = Watched("ab")
+    mail = replace(JOB, offering="mail")
+    d.engine.recover((OpenJob("s", "k", mail, 5.0, (OldLaunch(on.LaunchId(1, 4), "a", 1, False, 0.5),)),), ())
+    d.up("a", 2, 0.1, age=1.0)              # another boot: it may have run
+    d.engine.pending.clear()                # as in the turn in which it goes back ...
+    d.engine.returning.clear()
+    d.list("b", 0.2)                        # ... and its host goes before it is there
+    d.engine.taken["c.1.1"].returning = True
+    d.engine.taken["c.1.1"].risk = ("a", 0.0)
+    d.engine.returning.append("c.1.1")
+    d.engine.timers.arm(0.3, "return", "")
+    assert not d.only(do.SendLaunch, d.rest(9.0))
+    assert d.kept(10.0) == {"c.1.1": "written off"}
