Hold to what a job was taken under when its offering is gone or changed

Seen: a job held over a restart into a configuration without its offering ended the controller at its release or start time (KeyError), in each life again. What ran of a lost offering was stopped at its host, and its end not told. Ruled out: jobs owed an answer without an offering (settled in time), longest waits by offerings now in force (answers come sooner, never later), the number of controllers (the quiet span after a start covers it). At fault: Sessions.go_on, Engine.found, Engine.settle. A job's record keeps effect, group and window (older records and older versions pass over them); a changed one is launched no more and counts as irreversible.

--- a/linedeal/engine/effects.py
+++ b/linedeal/engine/effects.py
@@ -101,6 +101,7 @@
     follow: bool = False
     held: bool = False
     start_in: float = 0.0
+    promise: str = ""           # what its offering says of repeats
 
 
 @dataclass(frozen=True, slots=True)
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -28,8 +28,8 @@
 STRAY_KEPT = 60.0       # seconds for which a launch that was given up is remembered, for a late yes
 STALL_SEEN = 0.25       # a timer this late tells that this process stood still, not that hosts were silent
 RETURN_MOST = 20        # jobs of an earlier life that go back to the module in one turn
-BREATH = 0.05           # what came in meanwhile is read for so long before launches are given up
 NAME_MOST = 200         # characters of an offering's, a customer's or a service's name
+BREATH = 0.05           # what came in meanwhile is read for so long before launches are given up
 
 
 class BrokenPromise(AssertionError):
@@ -49,6 +49,7 @@
     held_since: float = 0.0
     returning: bool = False     # on its way back to the module after a restart
     risk: tuple[str, float] | None = None       # host and time of its first launch that may have run
+    promise: str = ""           # what its offering was when an earlier life took it
 
     @property
     def owner(self):
@@ -68,8 +69,8 @@
         self.now = now
         self.ready = False          # a list has been heard, so that jobs can be taken
         self.taken: dict[str, Taken] = {}
-        self.keys: dict[tuple[int | str, str], str] = {}     # by owner and key
         self.holds: dict[str, int] = {}                      # how many of them each customer has
+        self.keys: dict[tuple[int | str, str], str] = {}     # by owner and key
         self.sessions = Sessions(self)
         self.full = False           # the journal has room for what is taken only
         self.pending: dict[str, recovery.OpenJob] = {}      # of an earlier life, not settled yet
@@ -170,13 +171,14 @@
             self.out.append(do.TurnAway(event.client, event.key, reason, retry_after))
             return
         self.jobs += 1
+        promise = recovery.promise(offering)
         wait = min(event.wait or offering.expiry, offering.expiry)
         job = api.Job(f"{self.name}.{self.life}.{self.jobs}", event.offering, event.customer, event.service,
                       event.cores, event.memory, self.now + wait)
         self.own(Taken(event.client, event.key, job, event.session, event.work, wait, self.now))
         self.counts["taken"] += 1
         self.out.append(do.Take(event.client, event.key, job.id, event.session, job if event.session else None, wait,
-                                event.work, event.follow, event.hold, event.start_in))
+                                event.work, event.follow, event.hold, event.start_in, promise))
         if event.session:
             entry = self.sessions.took(event, job, wait)
             self.sessions.tell(entry)
@@ -185,15 +187,13 @@
         self.tell(api.JobArrived(job))
 
     def own(self, taken: Taken) -> None:
-        self.taken[taken.job.id] = taken
-        self.keys[taken.owner, taken.key] = taken.job.id
         if taken.job.id not in self.taken:
             self.holds[taken.job.customer] = self.holds.get(taken.job.customer, 0) + 1
+        self.taken[taken.job.id] = taken
+        self.keys[taken.owner, taken.key] = taken.job.id
         if taken.client:
             self.clients.setdefault(taken.client, set()).add(taken.job.id)
 
-    def turned_away(self, event: on.Submitted, offering) -> str:
-        """Why it is not taken, or nothing. Only here can a job be refused without an answer being owed."""
     def disown(self, job_id: str) -> Taken | None:
         taken = self.taken.pop(job_id, None)
         if taken is not None:
@@ -204,6 +204,12 @@
                 del self.holds[taken.job.customer]
         return taken
 
+    def turned_away(self, event: on.Submitted, offering) -> str:
+        """Why it is not taken, or nothing. Only here can a job be refused without an answer being owed."""
+        # guards against names that fill memory, and frames with them in that would be too large to send
+        longest = max(len(event.offering), len(event.customer), len(event.service))
+        if longest > NAME_MOST:
+            return f"a name of {longest} characters, at most {NAME_MOST} are taken"
         if offering is None:
             return f"no offering {event.offering!r}"
         if not (0 < event.cores < float("inf") and 0 < event.memory < float("inf")):
@@ -220,10 +226,6 @@
             return f"this link submits for customer {event.proven!r} only"
         if (event.session or event.client, event.key) in self.keys:
             return "this key waits already"
-        # guards against names that fill memory, and frames with them in that would be too large to send
-        longest = max(len(event.offering), len(event.customer), len(event.service))
-        if longest > NAME_MOST:
-            return f"a name of {longest} characters, at most {NAME_MOST} are taken"
         if not self.ready:
             return "no list of hosts yet"
         if self.full and event.session:
@@ -492,15 +494,19 @@
         if item.phase is on.Phase.OVER:
             self.out.append(do.SendEndSeen(host, item.launch))
             self.sessions.ended(item.job.id, item.launch, item.result, item.why, item.ran)
-        elif offering is None or item.launch.life == self.life and offering.effect is not Effect.IRREVERSIBLE:
+        elif item.launch.life == self.life and offering and offering.effect is not Effect.IRREVERSIBLE:
             self.out.append(do.SendStop(host, item.launch))
         elif item.job.id in self.taken and item.job.id not in self.pending:
             self.out.append(do.SendStop(host, item.launch))     # another course of it is under way
         elif item.job.id not in self.by_job:
-            launch = Launch(item.launch, item.job, offering.effect, host, self.now, State.HELD, record.link,
-                            record.boot, started=item.phase is on.Phase.RUNNING)
+            # guards against a configuration that lost an offering: what runs of it is left alone, and told of; the
+            # module does not know it, and it can ask for no more of it
+            effect = offering.effect if offering else Effect.IRREVERSIBLE
+            launch = Launch(item.launch, item.job, effect, host, self.now, State.HELD, record.link, record.boot,
+                            started=item.phase is on.Phase.RUNNING)
             self.launches[launch.id] = self.by_job[item.job.id] = record.launches[launch.id] = launch
-            self.tell(api.JobFound(item.job, host))
+            if offering:
+                self.tell(api.JobFound(item.job, host))
             entry = self.sessions.ledger.by_job.get(item.job.id)
             if entry is not None and entry.ending:
                 launch.wanted = False
@@ -586,7 +592,8 @@
             self.sessions.recover_answered(kept)
         for job in left_open:
             record = replace(job.job, expiry=self.now + job.expires_in)
-            self.own(Taken(0, job.key, record, job.session, job.work, job.expires_in, self.now))
+            self.own(Taken(0, job.key, record, job.session, job.work, job.expires_in, self.now,
+                           promise=job.promise))
             entry = self.sessions.recover_open(job, record)
             if entry.stage is not Stage.WAITING:
                 continue        # never launched, or every launch known not to have run: it could not be held else
@@ -597,6 +604,13 @@
         if left_open:
             self.timers.arm(self.now + recovery.PATIENCE, "settle", "")
 
+    def in_force(self, taken: Taken) -> api.Offering | None:
+        """The job's offering; None where the configuration has lost it since, or changed what repeats of it do: then
+        the job is launched no more, and counts as irreversible."""
+        offering = self.cluster.settings.offerings.get(taken.job.offering)
+        same = offering is not None and taken.promise in ("", recovery.promise(offering))
+        return offering if same else None
+
     def settle_pending(self) -> None:
         for job_id in list(self.pending):
             self.settle(job_id)
@@ -611,7 +625,7 @@
         if job_id not in self.pending:
             return
         job, taken = self.pending[job_id], self.taken[job_id]
-        offering = self.cluster.settings.offerings.get(job.job.offering)
+        offering = self.in_force(taken)
         lost = {launch.host for launch in job.launches if self.ready and launch.host not in self.fleet.hosts}
         step = recovery.next_step(
             job, offering.effect if offering else Effect.IRREVERSIBLE, self.accounts, lost,
--- a/linedeal/engine/recovery.py
+++ b/linedeal/engine/recovery.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 from linedeal.engine.events import Held, LaunchId, Phase, Ran
-from linedeal.interface import Effect, Job
+from linedeal.interface import Effect, Job, Offering
 
 PATIENCE = 1.5          # seconds after a start for which a redoable job waits for its host's account
 SETTLE_BEFORE = 0.05    # seconds before its expiry at which a job that is still unclear is answered
@@ -45,6 +45,7 @@
     held: bool = False
     start_in: float = 0.0       # seconds
     taken_ago: float = 0.0
+    promise: str = ""           # what its offering was as it was taken; empty: not known, an older record
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +77,14 @@
     forgot: bool
 
 
+def promise(offering: Offering) -> str:
+    """What an offering says of repeats, kept with each job: a file edited between two lives must not let an
+    irreversible job run twice."""
+    if offering.effect is not Effect.LABELLED:
+        return offering.effect.name
+    return f"{offering.effect.name} {offering.group.name} {offering.window:g}"
+
+
 def ran(launch: OldLaunch, accounts: dict[str, Account]) -> bool | None:
     """Whether a launch of an earlier life ran: None where its host has not been heard, True where it may have."""
     if launch.void:
--- a/linedeal/engine/sessions.py
+++ b/linedeal/engine/sessions.py
@@ -74,6 +74,10 @@
     def go_on(self, entry: Entry) -> None:
         """Back to the module, with the time that was left."""
         engine, taken = self.engine, self.engine.taken[entry.job.id]
+        if engine.in_force(taken) is None:      # held over a restart, and nothing of it can have run
+            entry.reason = f"offering {entry.job.offering} is gone or has changed"
+            engine.answer(entry.job.id, do.Verdict.REJECTED)
+            return
         entry.stage, entry.job.expiry = Stage.WAITING, engine.now + taken.left
         engine.out.append(do.KeepHold(entry.job.id, False, taken.left, 0.0))
         self.tell(entry)
@@ -87,6 +91,7 @@
     def held_too_long(self, job_id: str) -> None:
         # guards against jobs that are held for ever: they count against what this controller may hold
         engine, entry = self.engine, self.ledger.by_job.get(job_id)
+        self.minded.discard(job_id)
         if entry is not None and entry.stage is Stage.HELD:
             ends = engine.taken[job_id].held_since + engine.cluster.limits.hold
             if engine.now < ends:       # released and held again meanwhile
@@ -94,7 +99,6 @@
                 engine.timers.arm(ends, "held too long", job_id)
                 return
             entry.reason = f"held for {engine.cluster.limits.hold:g} s"
-        self.minded.discard(job_id)
             engine.answer(job_id, do.Verdict.REJECTED)
 
     # -- orders
@@ -105,7 +109,7 @@
             engine.out.append(do.Reply(event.client, event.key, event.kind, Fault.NO_SUCH_JOB))
             return
         taken, launch = engine.taken.get(entry.job.id), engine.by_job.get(entry.job.id)
-        offering = engine.cluster.settings.offerings.get(entry.job.offering)
+        offering = engine.in_force(taken) if taken else None
         earlier = engine.pending.get(entry.job.id)
         may_have_run = bool(taken and taken.risk) or bool(earlier and any(not old.void for old in earlier.launches))
         ruling = control.rule(event.kind, entry, launch is not None, may_have_run,
--- a/linedeal/state/journal.py
+++ b/linedeal/state/journal.py
@@ -121,7 +121,8 @@
             raise
 
     def take(self, at, life, effect: do.Take) -> None:
-        job = msgspec.msgpack.encode(effect.record)
+        # the promise goes into the job's record, where older versions pass over it
+        job = msgspec.msgpack.encode(msgspec.to_builtins(effect.record) | {"promise": effect.promise})
         starts = at + effect.start_in if effect.start_in else None
         expires = effect.expires_in if effect.held or starts else at + effect.expires_in
         self.db.execute(
@@ -188,7 +189,7 @@
              reason, ran, answered, ended, ending) = row
             if zlib.crc32(work, zlib.crc32(blob)) != total:
                 raise StoreFault(f"{self.store.path}: job {job_id} does not match its checksum")
-            job = msgspec.msgpack.decode(blob, type=Job)
+            job, promise = msgspec.msgpack.decode(blob, type=Job), msgspec.msgpack.decode(blob).get("promise", "")
 
             def ago(then):
                 return None if then is None else max(0.0, at - then)
@@ -201,7 +202,7 @@
             aside = held or starts is not None
             left = min(max(0.0, expires if aside else expires - at), longest)
             open_jobs.append(OpenJob(session, key, job, left, tuple(launches.get(job_id, ())), work, bool(follow),
-                                     bool(held), max(0.001, starts - at) if starts is not None else 0.0, ago(taken)))
+                                     bool(held), max(0.001, starts - at) if starts is not None else 0.0, ago(taken), promise))
         return Found(tuple(open_jobs), tuple(answers))
 
     def compact(self, at: float, keep_answers: float) -> int:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -189,6 +189,59 @@
 
 # a configuration that changed between two lives
 
+def test_a_held_job_whose_offering_is_gone_is_rejected_when_its_time_comes():
+    for job, order in ((OpenJob("s", "k", replace(JOB, offering="gone"), 4.0, held=True, follow=True), True),
+                       (OpenJob("s", "k", replace(JOB, offering="gone"), 4.0, start_in=2.0, follow=True), False)):
+        d = Watched()
+        d.engine.recover((job,), ())
+        if order:
+            d.turn(1.0, on.Ordered(1, "s", "k", OrderKind.RELEASE))
+        d.rest(8.0)
+        assert d.kept(9.0) == {"c.1.1": "rejected"}
+        assert not d.only(do.SendLaunch, [effect for _, effect in d.log])
+
+
+def test_what_runs_of_an_offering_that_is_gone_is_left_alone_and_its_end_told():
+    from linedeal.engine.recovery import KeptAnswer
+    d = Watched()
+    ran = replace(JOB, offering="gone")
+    d.engine.recover((), (KeptAnswer("s", "k", ran, "PLACED", "a", on.LaunchId(1, 4), follow=True),))
+    d.turn(0.5, on.StandingAsked(1, "s", ""))
+    effects = d.turn(1.0, on.LinkUp("a", 5, 1, 50.0, (on.Held(on.LaunchId(1, 4), ran, on.Phase.RUNNING),), False))
+    assert not d.only(do.SendStop, effects)
+    effects = d.turn(2.0, on.Over("a", on.LaunchId(1, 4), api.Result.DONE, api.Why.UNTOLD))
+    assert [told.stage.name for told in d.only(do.Standing, effects)] == ["DONE"]
+    d.kept(9.0)
+
+
+@pytest.mark.parametrize("promise, launch_boot, verdict", [
+    ("IRREVERSIBLE", 0, "written off"), ("IRREVERSIBLE", 1, "rejected"), ("LABELLED ZONE 4", 0, "written off"),
+    ("", 0, "placed"), ("REDOABLE", 0, "placed")])
+def test_a_job_goes_on_by_the_effect_it_was_taken_under(promise, launch_boot, verdict):
+    # the offering is redoable now; host a has another boot than the launch, so it may have run, or the same: it did not
+    d = Watched()
+    d.engine.recover((OpenJob("s", "k", JOB, 4.0, (OldLaunch(on.LaunchId(1, 4), "a", launch_boot, False, 0.5),),
+                              promise=promise),), ())
+    d.up("a", 1, 0.1)
+    d.rest(0.4)
+    sent = d.only(do.SendLaunch, [effect for _, effect in d.log])
+    assert bool(sent) is (verdict == "placed")
+    if sent:
+        d.yes(0.4, sent[0])
+    assert d.kept(9.0) == {"c.1.1": verdict}
+
+
+def test_the_journal_keeps_what_a_job_was_promised(tmp_path):
+    store = Store(tmp_path)
+    journal = Journal(store)
+    d = Watched()
+    takes = d.only(do.Take, d.ask(1.0, "feed", session="s") + d.ask(1.0, "mail", "m", session="s"))
+    journal.write(1.0, 1, takes)
+    found = Journal(store).read(2.0, 60.0)
+    assert [job.promise for job in found.open] == ["IRREVERSIBLE", "LABELLED ZONE 4"]
+    store.close()
+
+
 def test_a_job_goes_on_though_the_host_of_its_risk_is_gone():
     d = Watched("a")
     sent = d.only(do.SendLaunch, d.ask(1.0, session="s"))[0]
