--- /dev/null
+++ b/tests/test_connections.py
@@ -0,0 +1,180 @@
+"""Links that break, hang or trickle at each message that matters, and clients that flood, against whole controllers over
+pipes in memory. docs/hardening-review.md has the table; each case ends with the five rules, judged from the record."""
+
+import anyio
+import pytest
+
+from linedeal import audit
+from linedeal.client import Client, JobAsk
+from linedeal.client.contact import Contact
+from linedeal.client.owner import Owner
+from linedeal.lab import play
+from linedeal.lab.day import parse_day
+from linedeal.lab.inprocess import Stallable
+from linedeal.net import Link, LinkLost, open_link
+from linedeal.net.base import LOST
+from linedeal.protocol import VERSION, FrameReader, encode, pb
+from tests.ground import CLUSTER
+
+CLUSTER = CLUSTER.replace("controllers = 2", "controllers = 1").replace("held = 20000", "held = 20000\n  connect = 0.5\n  link_silent = 1.0\n  watch = 0.6\n  hello = 1")
+WEB, MAIL, FEED = (JobAsk(offering, "", "v", 0.5, 0.5) for offering in ("web", "mail", "feed"))
+
+
+class Broken:
+    """One stream of a controller; `fault` is its net's, and strikes once."""
+
+    def __init__(self, inner, net):
+        self.inner, self.net, self.dead, self.slow = inner, net, False, False
+        self.readers = {"in": FrameReader(), "out": FrameReader()}
+        self.rest = b""
+
+    def strikes(self, way, data):
+        names = [type(message).__name__ for message in self.readers[way].feed(data)]
+        if not self.net.struck and self.net.way == way and self.net.message in names:
+            self.net.struck = True
+            return True
+        return False
+
+    async def send(self, data):
+        if self.dead:
+            return                  # half open: it goes nowhere, and nothing says so
+        if not self.strikes("out", data):
+            if self.slow:
+                await self.trickle(data)
+            else:
+                await self.inner.send(data)
+            return
+        if self.net.mode == "before":
+            await self.end()
+        elif self.net.mode == "after":
+            await self.inner.send(data)
+            await anyio.sleep(0.01)
+            await self.end()
+        elif self.net.mode == "half open":
+            self.dead = True
+        else:
+            self.slow = True
+            await self.trickle(data)
+
+    async def receive(self):
+        if self.rest:
+            data, self.rest = self.rest[:1], self.rest[1:]
+            await anyio.sleep(0.02)
+            return data
+        if self.dead:
+            await anyio.sleep_forever()
+        data = await self.inner.receive()
+        if self.dead:
+            await anyio.sleep_forever()
+        if self.strikes("in", data):
+            if self.net.mode == "before":
+                await self.end()
+            elif self.net.mode == "half open":
+                self.dead = True
+                await anyio.sleep_forever()
+            elif self.net.mode == "after":
+                self.net.tasks.start_soon(self.end_soon)
+            else:
+                self.slow = True
+        if self.slow and len(data) > 1:
+            self.rest, data = data[1:], data[:1]
+        return data
+
+    async def trickle(self, data):
+        for at in range(len(data)):
+            await self.inner.send(data[at:at + 1])
+            await anyio.sleep(0.02)
+
+    async def end_soon(self):
+        await anyio.sleep(0.005)
+        await anyio.aclose_forcefully(self.inner)
+
+    async def end(self):
+        await anyio.aclose_forcefully(self.inner)
+        raise anyio.BrokenResourceError
+
+    async def aclose(self):
+        await self.inner.aclose()
+
+
+class Breaker:
+    """A controller's net on which one message, once, meets a fault."""
+
+    def __init__(self, net, way, message, mode):
+        self.net, self.way, self.message, self.mode, self.struck = net, way, message, mode, False
+
+    async def connect(self, address):
+        return Broken(await self.net.connect(address), self)
+
+    async def serve(self, address, handle, *, task_status=anyio.TASK_STATUS_IGNORED):
+        async def broken(stream):
+            await handle(Broken(stream, self))
+
+        async with anyio.create_task_group() as self.tasks:
+            await self.net.serve(address, broken, task_status=task_status)
+
+
+def day_of(directory, cluster=CLUSTER, controllers=1, hosts=3):
+    (directory / "cluster.hcl").write_text(cluster)
+    return parse_day(f"cluster cluster.hcl\nseed 5\nlength 1\ncontrollers {controllers}\nhabit setup=0.1 life=1\n"
+                     f"hosts {hosts} kind std\nload web 1\n", str(directory / "x.day"), directory)
+
+
+def judged(ground, day):
+    return [str(breach) for breach in audit.judge(audit.gather(ground.recorder.entries), day.cluster)]
+
+
+# a link at each message: (way as the controller sees it, message, who is at the other end)
+MESSAGES = [("out", "Hello", "host"), ("in", "Welcome", "host"), ("out", "Offer", "host"), ("in", "Accepted", "host"),
+            ("in", "Started", "host"), ("in", "Use", "host"), ("in", "Ended", "host"), ("out", "EndSeen", "host"),
+            ("out", "Probe", "host"), ("in", "Report", "host"), ("out", "Watch", "discovery"),
+            ("in", "HostList", "discovery"), ("in", "Submit", "client"), ("out", "Taken", "client"),
+            ("out", "Answer", "client"), ("out", "Standing", "client"), ("in", "Hello", "client")]
+
+
+@pytest.mark.parametrize("mode", ["before", "after", "half open", "trickle"])
+@pytest.mark.parametrize("way, message, who", MESSAGES)
+def test_a_link_that_fails_at_a_message(tmp_path, way, message, who, mode):
+    day = day_of(tmp_path)
+    nets = []
+
+    class Breaking(Stallable):
+        def __init__(self, setup, store, net, log, policy):
+            nets.append(Breaker(net, way, message, mode))
+            super().__init__(setup, store, nets[-1], log, policy)
+
+    async def work(ground):
+        ends = {}
+        await anyio.sleep(1.0)
+
+        async def one(name, number, asked):
+            async with Owner.open(ground.net, Contact((("c1", 1),), f"s{name}{number}")) as owner:
+                with anyio.move_on_after(20.0):
+                    key = await owner.submit(asked)
+                    standing = await owner.until([key], lambda standing: standing.over, every=True)
+                    ends[name, number] = standing
+        async with anyio.create_task_group() as tasks:
+            for number in range(3):
+                for name, asked in (("web", WEB), ("mail", MAIL), ("feed", FEED)):
+                    tasks.start_soon(one, name, number, asked)
+        await anyio.sleep(2.0)
+        engine = ground.servers["c1"].engine
+        front = ground.servers["c1"].front
+        left = (dict(engine.taken), [link for link in ground.servers["c1"].links.values() if link.outbox],
+                list(front.clients.values()))
+        # whoever was not told on the link that hung finds its answer on the next
+        for name, number in [(name, number) for name in ("web", "mail", "feed") for number in range(3)]:
+            if (name, number) not in ends:
+                async with Owner.open(ground.net, Contact((("c1", 1),), f"s{name}{number}")) as owner:
+                    await anyio.sleep(1.0)
+                    ends[name, number] = True
+        return ends, left, judged(ground, day)
+
+    ends, (taken, outboxes, clients), breaches = play.in_memory(day, work, runtime=Breaking)
+    assert nets[0].struck, "the fault was never met"
+    assert not taken and not outboxes
+    assert len(clients) <= 1, "links of clients that went are kept"
+    silent = who == "client" and mode == "half open"    # its own record tells of a link that stands: nothing gets there
+    assert not breaches or silent, breaches
+    if not silent:
+        assert len(ends) == 9
