Bound every key a client sends: one order with a key of 1 MB ended the controller

Seen: an Order or AskStanding whose key fills a frame was answered by a message that names it and is larger than a frame; FrameError in the loop that carries out effects ended the controller. Ruled out: keys of submits (bounded already), session names (cut), reasons (made here, or cut at 200). At fault: Front.event, which bounded the key of Submit alone.

--- a/linedeal/controller/front.py
+++ b/linedeal/controller/front.py
@@ -114,12 +114,13 @@
             await self.inbox.post(*[self.event(client, message) for message in messages])
 
     def event(self, client: Client, message):
+        # guards against a key that does not fit into the answer that names it
+        if len(getattr(message, "key", "")) > KEY_MOST or isinstance(message, pb.Submit) and not message.key:
+            raise LinkLost(f"a key of {len(message.key)} characters, 1 to {KEY_MOST} are taken")
         match message:
-            case pb.Submit() if 0 < len(message.key) <= KEY_MOST:
+            case pb.Submit():
                 client.jobs += 1
                 return translate.submitted(client.number, client.session, client.proven, message)
-            case pb.Submit():
-                raise LinkLost(f"a key of {len(message.key)} characters, 1 to {KEY_MOST} are taken")
             case pb.TakeBack():
                 client.jobs -= 1
                 return on.TakenBack(client.number, message.key, client.session)
