Give each link 64 events a turn: one client's flood made turns of 1,000 and more

Seen: 3,000 submits, orders, take-backs or questions sent at once came into one turn, before anybody else's next event. Ruled out: the inbox's bound of 4,096 (it bounds memory, not the length of a turn), the bound on unread bytes (it strikes after the turn). At fault: Inbox.post, which put a link's whole batch.

--- a/linedeal/controller/inbox.py
+++ b/linedeal/controller/inbox.py
@@ -3,6 +3,7 @@
 import anyio
 
 MOST = 4096     # events that may wait before links have to: a slow engine slows its peers, it does not swell
+SHARE = 64      # events of one link in one turn
 
 
 class Inbox:
@@ -19,11 +20,15 @@
         self.arrived.set()
 
     async def post(self, *events) -> None:
-        """In order; waits while too many are there already."""
-        while self.waiting >= MOST:
-            await self.taken.wait()
-        for event in events:
-            self.put(event)
+        """In order; waits while too many are there already, and after its share until the turn has taken that."""
+        for start in range(0, len(events), SHARE):
+            while self.waiting >= MOST:
+                await self.taken.wait()
+            share = events[start:start + SHARE]
+            for event in share:
+                self.put(event)
+            if len(share) == SHARE:     # guards against one link's flood that makes a turn long for all others
+                await self.taken.wait()
 
     def turned(self) -> None:
         """The engine has taken all that was there."""
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -52,6 +52,8 @@
             await self.end()
         elif self.net.mode == "half open":
             self.dead = True
+        elif self.net.mode == "clog":
+            await anyio.sleep_forever()         # the other side reads no more, and goes on speaking
         else:
             self.slow = True
             await self.trickle(data)
@@ -178,3 +180,96 @@
     assert not breaches or silent, breaches
     if not silent:
         assert len(ends) == 9
+
+
+# clients that misbehave, one at a time, beside others that do not
+
+async def flood(link, messages):
+    """All at once, read by nobody."""
+    data = b"".join(map(encode, messages))
+    for at in range(0, len(data), 65536):
+        await link.send(data[at:at + 65536])
+
+
+def spec(offering="web", service="rogue", cores=0.1, memory=0.1, customer="rogue"):
+    return pb.JobSpec(offering=offering, customer=customer, service=service, cores=cores, memory=memory)
+
+
+LONG = "\0" * 300_000
+ROGUES = {
+    "submits": lambda: [pb.Submit(key=f"k{i}", job=spec()) for i in range(3000)],
+    "submits of one key": lambda: [pb.Submit(key="k", job=spec()) for i in range(3000)],
+    "odd sizes": lambda: [pb.Submit(key=f"k{i}", job=spec(cores=1 + i / 1000, memory=3 - i / 1000), wait=0.5 + i / 1000)
+                          for i in range(1500)],
+    "sizes that are none": lambda: [pb.Submit(key=f"k{i}", job=spec(cores=size, memory=size)) for i, size in
+                                    enumerate([0.0, -1.0, float("nan"), float("inf"), 1e300, 1e-300, 5e-324])],
+    "a new service each time": lambda: [pb.Submit(key=f"k{i}", job=spec(service=f"s{i}")) for i in range(2000)],
+    "another's service": lambda: [pb.Submit(key=f"k{i}", job=spec(service="good", cores=1e-9)) for i in range(500)],
+    "names without end": lambda: [pb.Submit(key="k", job=spec(service=LONG)), pb.Submit(key="l", job=spec(LONG))],
+    "take-backs of nothing": lambda: [pb.TakeBack(key=f"k{i}") for i in range(5000)],
+    "submits taken back": lambda: [m for i in range(1500) for m in (pb.Submit(key=f"k{i}", job=spec()),
+                                                                    pb.TakeBack(key=f"k{i}"))],
+    "orders": lambda: [pb.Order(key=f"k{i % 7}", kind=1 + i % 3) for i in range(5000)],
+    "held in mass": lambda: [pb.Submit(key=f"k{i}", job=spec(), hold=True, follow=True) for i in range(1500)],
+    "hold and release": lambda: [pb.Submit(key="k", job=spec(), hold=True, follow=True)] + [
+        pb.Order(key="k", kind=pb.RELEASE if i % 2 == 0 else pb.HOLD) for i in range(2000)],
+    "questions": lambda: [pb.Submit(key=f"k{i}", job=spec(), hold=True, follow=True) for i in range(200)] + [
+        pb.AskStanding() for i in range(2000)],
+    "a long key in an order": lambda: [pb.Order(key="k" * 1_048_560, kind=pb.HOLD)],
+    "a long key in a question": lambda: [pb.AskStanding(key="k" * 1_048_560)],
+    "a long key in what it takes back": lambda: [pb.TakeBack(key="k" * 1_048_560)],
+    "work that is too much": lambda: [pb.Submit(key=f"k{i}", job=pb.JobSpec(offering="web", cores=1, memory=1,
+                                                                           work=b"x" * 70_000)) for i in range(50)],
+}
+
+
+@pytest.mark.parametrize("rogue", ROGUES)
+def test_what_a_rogue_client_does_harms_no_other(tmp_path, rogue):
+    day = day_of(tmp_path)
+    seen = {"events": 0}
+
+    class Counted(Stallable):
+        def __init__(self, *args):
+            super().__init__(*args)
+            seen["runtime"] = self
+
+    async def work(ground):
+        await anyio.sleep(1.0)
+        engine, most = seen["runtime"].engine, [0]
+        turn = engine.turn
+
+        def counted(now):
+            most[0] = max(most[0], len(engine.arrived))
+            return turn(now)
+        engine.turn = counted
+        good, verdicts = Client.connect(ground.net, ("c1", 1), "good"), []
+
+        async def misbehave():
+            link, _ = await open_link(ground.net, ("c1", 1), encode(pb.Hello(
+                version=VERSION, role=pb.CLIENT, name="rogue", session="rogue")), 1.0)
+            try:
+                await flood(link, ROGUES[rogue]())
+                await anyio.sleep(3.0)
+            except LinkLost:
+                pass
+            await link.close()
+
+        async with good as client, anyio.create_task_group() as tasks:
+            tasks.start_soon(misbehave)
+            for number in range(12):
+                ask = JobAsk(("web", "mail", "feed")[number % 3], "good", "good", 0.5, 0.5)
+                with anyio.fail_after(8.0):
+                    verdicts.append((await client.submit(ask)).verdict)
+                await anyio.sleep(0.1)
+        await anyio.sleep(8.0)
+        held = [job for job in engine.taken.values() if job.job.customer != "rogue"]
+        return verdicts, most[0], held, seen["runtime"].front.clients, judged(ground, day)
+
+    verdicts, most, held, clients, breaches = play.in_memory(day, work, runtime=Counted)
+    assert set(verdicts) <= {"placed", "rejected"} and verdicts.count("placed") >= 6, verdicts
+    assert not held and not clients and not breaches, breaches
+    assert most <= 500, f"{most} events in one turn"
+
+
+async def hello_of(ground, **rest):
+    return await open_link(ground.net, ("c1", 1), encode(pb.Hello(version=VERSION, role=pb.CLIENT, name="x", **rest)), 1.0)
