Take note of what comes in while a turn is written to disk: it waited for a timer

Seen: with a disk of 50 ms a turn, jobs of another client waited 0.13 to 0.38 s beside an owner's submit; events that came during the write lost their wake-up, since Inbox.turned ran after it, and waited for the next timer or event. Ruled out: the writes themselves (each turn's takes its 50 ms in both). At fault: Runtime.turn_until_left, the order of keep and turned. It happens where each commit is flushed (power = true), and within one switch of tasks elsewhere.

--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -147,6 +147,7 @@
         while True:
             self.turned_at = anyio.current_time()
             effects = self.engine.turn(self.turned_at)
+            self.inbox.turned()     # now: what comes in while the turn is written to disk is the next turn's
             keep = to_keep(effects)
             if keep:    # on disk before any of it shows: the turn's jobs share the flush, the next turn gathers meanwhile
                 await self.keep(keep)
@@ -157,7 +158,6 @@
                 if not self.engine.taken or anyio.current_time() >= ends:
                     await anyio.sleep(0.05)     # the last answers are on their way to the clients
                     return
-            self.inbox.turned()
             await self.wait(min(self.engine.next_due(), ends))
 
     async def wait(self, until: float) -> None:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -271,5 +271,35 @@
     assert most <= 500, f"{most} events in one turn"
 
 
+def test_an_event_that_comes_while_a_turn_is_written_to_disk_does_not_wait(tmp_path):
+    # guards against a wake-up that is lost: the next timer may be seconds away
+    day = day_of(tmp_path)
+
+    class SlowDisk(Stallable):
+        async def keep(self, effects):
+            await anyio.sleep(0.05)
+            await super().keep(effects)
+
+    async def work(ground):
+        await anyio.sleep(3.0)
+        async with Owner.open(ground.net, Contact((("c1", 1),), "s")) as owner, \
+                Client.connect(ground.net, ("c1", 1), "plain") as client:
+            await anyio.sleep(0.5)
+            waits = []
+            for _ in range(5):
+                await owner.submit(FEED)
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(owner.submit, WEB)
+                    await anyio.sleep(0.02)
+                    begun = anyio.current_time()
+                    await client.submit(FEED)
+                    waits.append(anyio.current_time() - begun)
+                await anyio.sleep(0.3)
+        return waits
+
+    waits = play.in_memory(day, work, runtime=SlowDisk)
+    assert max(waits) < 0.25, waits
+
+
 async def hello_of(ground, **rest):
     return await open_link(ground.net, ("c1", 1), encode(pb.Hello(version=VERSION, role=pb.CLIENT, name="x", **rest)), 1.0)
