Ask the engine whether a link waits for an answer: counting in the front went wrong

Seen: a take-back of a job that was not there counted one off: a link with nothing to wait for was never ended (count -1), and one whose job waited was ended as idle (count 0), its job taken back. Ruled out: the answer that crosses a take-back alone (the same count, the same mend). At fault: Front.event and send, a second record of what Engine.clients knows.

--- a/linedeal/controller/front.py
+++ b/linedeal/controller/front.py
@@ -3,12 +3,12 @@
 
 from collections import deque
 from dataclasses import dataclass, field
+from typing import Callable
 
 import anyio
 
 from linedeal.controller import owners, translate
 from linedeal.controller.inbox import Inbox
-from linedeal.engine import effects as do
 from linedeal.engine import events as on
 from linedeal.net import Address, Link, LinkLost, Net, until_lost
 from linedeal.protocol import VERSION, encode, pb
@@ -27,16 +27,17 @@
     proven: str = ""
     outbox: deque = field(default_factory=deque)
     waiting: int = 0            # bytes in it
-    jobs: int = 0               # taken and not answered
     wake: anyio.Event = field(default_factory=anyio.Event)
     lost: anyio.Event = field(default_factory=anyio.Event)
 
 
 class Front:
-    def __init__(self, controller: str, net: Net, cluster: Cluster, inbox: Inbox, log):
+    def __init__(self, controller: str, net: Net, cluster: Cluster, inbox: Inbox, log, owed: Callable[[int], bool]):
+        """`owed`: whether the link of that number waits for an answer, which the engine knows."""
         self.keys, limits = cluster.keys, cluster.limits
         self.offerings = translate.offerings(cluster.settings)
         self.controller, self.net, self.limits, self.inbox, self.log = controller, net, limits, inbox, log
+        self.owed = owed
         self.clients: dict[int, Client] = {}
         self.numbers = 0
         self.closing = False
@@ -49,8 +50,6 @@
         client = self.clients.get(number)
         if client is None:
             return
-        if isinstance(effect, (do.TurnAway, do.Answer)):
-            client.jobs -= 1
         data = encode(translate.to_client(effect))
         client.outbox.append(data)
         client.waiting += len(data)
@@ -108,7 +107,7 @@
             with anyio.move_on_after(self.limits.client_idle) as idle:
                 messages = await client.link.receive_all()
             if idle.cancelled_caught:
-                if client.jobs or client.session:
+                if client.session or self.owed(client.number):
                     continue        # a session's owner may wait for days, and is told when something happens
                 raise LinkLost(f"idle for {self.limits.client_idle:g} s")
             await self.inbox.post(*[self.event(client, message) for message in messages])
@@ -119,10 +118,8 @@
             raise LinkLost(f"a key of {len(message.key)} characters, 1 to {KEY_MOST} are taken")
         match message:
             case pb.Submit():
-                client.jobs += 1
                 return translate.submitted(client.number, client.session, client.proven, message)
             case pb.TakeBack():
-                client.jobs -= 1
                 return on.TakenBack(client.number, message.key, client.session)
             case pb.AnswerSeen():
                 return on.AnswerSeen(client.session, message.key)
--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -63,7 +63,8 @@
         self.engine = Engine(self.setup.cluster, self.setup.name, self.life, self.setup.seed + self.life, now,
                              self.policy)
         self.inbox = Inbox(self.engine.put)
-        self.front = Front(self.setup.name, self.net, self.setup.cluster, self.inbox, self.log)
+        self.front = Front(self.setup.name, self.net, self.setup.cluster, self.inbox, self.log,
+                           lambda client: bool(self.engine.clients.get(client)))
         self.watch = DiscoveryWatch(self.setup.discovery, self.setup.name, self.life, self.net,
                                     self.setup.cluster.limits, self.inbox, self.log)
         numbers = itertools.count(1)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -303,3 +303,24 @@
 
 async def hello_of(ground, **rest):
     return await open_link(ground.net, ("c1", 1), encode(pb.Hello(version=VERSION, role=pb.CLIENT, name="x", **rest)), 1.0)
+
+
+@pytest.mark.parametrize("sent, goes", [
+    ([], True),
+    ([pb.TakeBack(key="none")], True),                                      # counted no job off
+    ([pb.Submit(key="a", job=spec()), pb.TakeBack(key="a")], True),
+    ([pb.Submit(key="a", job=spec("feed", cores=9e9)), pb.TakeBack(key="none")], False),    # one waits: it stays
+])
+def test_a_link_that_waits_for_nothing_is_ended_whatever_it_took_back(tmp_path, sent, goes):
+    cluster = CLUSTER.replace("hello = 1", "hello = 1\n  client_idle = 2").replace("expiry = 6", "expiry = 30")
+    day = day_of(tmp_path, cluster)
+
+    async def work(ground):
+        await anyio.sleep(1.0)
+        link, _ = await hello_of(ground)
+        await flood(link, sent)
+        await anyio.sleep(7.0)
+        return len(ground.servers["c1"].front.clients), len(ground.servers["c1"].engine.taken), judged(ground, day)
+
+    clients, taken, breaches = play.in_memory(day, work)
+    assert (clients, taken) == ((0, 0) if goes else (1, 1)) and not breaches
