Bound links that have not said who they are

Seen: 60 connections that said nothing stood beside a bound of 10 clients, each for the time of a hello; at some hundreds a process runs out of files, and its listener ends. Ruled out: limits.clients, which counts links after their hello. At fault: Front.greet.

--- a/linedeal/controller/front.py
+++ b/linedeal/controller/front.py
@@ -40,6 +40,7 @@
         self.owed = owed
         self.clients: dict[int, Client] = {}
         self.numbers = 0
+        self.strangers = 0          # links that have not said who they are
         self.closing = False
 
     async def run(self, address: Address, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
@@ -78,6 +79,10 @@
             self.log.warning("client let go", client=client.name or client.number, reason=why)
 
     async def greet(self, client: Client) -> None:
+        # guards against connections that say nothing: they cost a file each until their time is up
+        if self.strangers >= self.limits.clients:
+            raise LinkLost("too many links that have not said who they are")
+        self.strangers += 1
         try:
             with anyio.fail_after(self.limits.hello):
                 if self.closing or len(self.clients) >= self.limits.clients:
@@ -98,6 +103,8 @@
                     version=min(hello.version, VERSION), name=self.controller, offerings=self.offerings)))
         except TimeoutError:
             raise LinkLost(f"no hello within {self.limits.hello:g} s") from None
+        finally:
+            self.strangers -= 1
 
     async def serve(self, client: Client) -> None:
         await until_lost(self.write(client), self.read(client), self.let_go(client))
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -324,3 +324,27 @@
 
     clients, taken, breaches = play.in_memory(day, work)
     assert (clients, taken) == ((0, 0) if goes else (1, 1)) and not breaches
+
+
+def test_links_that_say_nothing_are_bounded_too(tmp_path):
+    day = day_of(tmp_path, CLUSTER.replace("hello = 1", "hello = 5\n  clients = 10"))
+
+    async def work(ground):
+        await anyio.sleep(1.0)
+        streams = [await ground.net.connect(("c1", 1)) for _ in range(60)]
+        await anyio.sleep(0.5)
+        ended = 0
+        for stream in streams:
+            with anyio.move_on_after(0.05):
+                try:
+                    await stream.receive()
+                except LOST:
+                    ended += 1
+        for stream in streams:
+            await stream.aclose()
+        await anyio.sleep(0.5)
+        async with Client.connect(ground.net, ("c1", 1), "good") as client:
+            return ended, (await client.submit(FEED)).verdict, judged(ground, day)
+
+    ended, verdict, breaches = play.in_memory(day, work)
+    assert ended >= 40 and verdict == "placed" and not breaches
