End links that are not read or are gone without a word

Seen: a client that stopped reading in the middle of a write kept its link for ever (its unread bytes stayed under the bound); a host that spoke and read nothing let its queue grow to 12,980 messages in 5 s; a session's link to a machine that lost its power stood until the process ended. Ruled out: the host link's watch on silence (it looks for a word from the host, which speaks), the watch on discovery (its answers are waited for). At fault: Link.send, which had no bound; HostLink.tell; TcpNet, which never asked the system to look. A write now has client_idle, link_silent or watch seconds; more than twice link_queue messages end a link; the system asks after silent peers, 120 s in all. Not played: the loss of a machine itself (no such thing on loopback); the options on the sockets are checked.

--- a/linedeal/controller/front.py
+++ b/linedeal/controller/front.py
@@ -149,5 +149,5 @@
             while client.outbox:
                 data = b"".join(client.outbox)
                 client.outbox.clear()
-                await client.link.send(data)
+                await client.link.send(data, self.limits.client_idle)
                 client.waiting -= len(data)
--- a/linedeal/controller/hostlink.py
+++ b/linedeal/controller/hostlink.py
@@ -71,7 +71,7 @@
 
     def tell(self, effect) -> None:
         """Only on a link that stands: a new one tells the engine all that it needs to say it again."""
-        if self.up:
+        if self.up and len(self.outbox) < 2 * self.limits.link_queue:      # past that the link is ended, see keep_alive
             self.queue(effect)
 
     def queue(self, effect) -> None:
@@ -170,7 +170,7 @@
                     self.inbox.put(on.Left(self.listed.id, number, tuple(numbers)))
                 if self.written_at <= self.heard_at:
                     self.written_at = anyio.current_time()
-                await link.send(data)
+                await link.send(data, self.limits.link_silent)
 
     def gather(self) -> tuple[bytes, list[int]]:
         """The bytes of the next write, and the launches in it."""
@@ -202,6 +202,8 @@
         while True:
             await anyio.sleep(self.limits.link_silent / 4)
             now = anyio.current_time()
+            if len(self.outbox) >= 2 * self.limits.link_queue:
+                raise LinkLost(f"{len(self.outbox)} messages wait for it")
             if self.written_at <= self.heard_at:
                 continue
             if now - self.written_at > self.limits.link_silent:
--- a/linedeal/controller/watch.py
+++ b/linedeal/controller/watch.py
@@ -49,7 +49,7 @@
             await self.wanted.wait()
             self.wanted = anyio.Event()
             self.asked_at = anyio.current_time()
-            await link.send(encode(pb.Watch(known_version=self.version)))
+            await link.send(encode(pb.Watch(known_version=self.version)), self.limits.watch)
             await anyio.sleep(self.limits.watch)
             if self.asked_at is not None:
                 raise LinkLost(f"a watch was not answered within {self.limits.watch:g} s")
--- a/linedeal/net/base.py
+++ b/linedeal/net/base.py
@@ -1,5 +1,6 @@
 """The seam between the program and the network."""
 
+import math
 from typing import Awaitable, Callable, Protocol
 
 import anyio
@@ -71,10 +72,14 @@
         except LOST as error:
             raise LinkLost(reason(error)) from None
 
-    async def send(self, data: bytes) -> None:
-        """Frames as `protocol.encode` makes them."""
+    async def send(self, data: bytes, within: float = math.inf) -> None:
+        """Frames as `protocol.encode` makes them. `within`: seconds for the other side to make room for them; guards
+        against one that goes on speaking and reads nothing."""
         try:
-            await self.stream.send(data)
+            with anyio.fail_after(within):
+                await self.stream.send(data)
+        except TimeoutError:
+            raise LinkLost(f"it read nothing for {within:g} s") from None
         except LOST as error:
             raise LinkLost(reason(error)) from None
 
--- a/linedeal/net/tcp.py
+++ b/linedeal/net/tcp.py
@@ -1,15 +1,34 @@
 """Real sockets, loopback or other, over anyio."""
 
+import socket
+
 import anyio
 import anyio.abc
 
 from linedeal.net.base import Address
 
 
+# guards against a peer that is gone without a word: its link would stand, and count, for ever. Seconds of silence
+# before the system asks, between two asks, and how many go unanswered; a peer that is only slow answers them
+KEEP_ALIVE = {"TCP_KEEPIDLE": 60, "TCP_KEEPINTVL": 20, "TCP_KEEPCNT": 3, "TCP_USER_TIMEOUT": 120_000}
+
+
+def keep_alive(stream: anyio.abc.SocketStream) -> anyio.abc.SocketStream:
+    raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    try:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for name, value in KEEP_ALIVE.items():
+            if hasattr(socket, name):       # what a system does not know it does in its own time
+                raw.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
+    except OSError:
+        pass        # it is gone already, which its first read tells
+    return stream
+
+
 class TcpNet:
     async def connect(self, address: Address) -> anyio.abc.SocketStream:
         """A stream to there. Raises OSError."""
-        return await anyio.connect_tcp(*address, happy_eyeballs_delay=0.1)
+        return keep_alive(await anyio.connect_tcp(*address, happy_eyeballs_delay=0.1))
 
     async def serve(self, address: Address, handle, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Hands each stream that comes in to `handle` in a task of its own; tells the address it listens at."""
@@ -20,4 +39,8 @@
         async with listener:
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             task_status.started((address[0], port))
-            await listener.serve(handle)
+
+            async def kept_alive(stream):
+                await handle(keep_alive(stream))
+
+            await listener.serve(kept_alive)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,7 +1,10 @@
 """Links that break, hang or trickle at each message that matters, and clients that flood, against whole controllers over
 pipes in memory. docs/hardening-review.md has the table; each case ends with the five rules, judged from the record."""
 
+import socket
+
 import anyio
+import anyio.abc
 import pytest
 
 from linedeal import audit
@@ -11,7 +14,7 @@
 from linedeal.lab import play
 from linedeal.lab.day import parse_day
 from linedeal.lab.inprocess import Stallable
-from linedeal.net import Link, LinkLost, open_link
+from linedeal.net import LinkLost, TcpNet, open_link
 from linedeal.net.base import LOST
 from linedeal.protocol import VERSION, FrameReader, encode, pb
 from tests.ground import CLUSTER
@@ -348,3 +351,84 @@
 
     ended, verdict, breaches = play.in_memory(day, work)
     assert ended >= 40 and verdict == "placed" and not breaches
+
+
+def test_a_client_that_stops_reading_in_the_middle_of_a_write_is_let_go(tmp_path):
+    day = day_of(tmp_path, CLUSTER.replace("hello = 1", "hello = 1\n  client_idle = 2"))
+
+    class Clogged(Stallable):
+        def __init__(self, setup, store, net, log, policy):
+            super().__init__(setup, store, Clogging(net), log, policy)
+
+    class Clogging(Breaker):
+        def __init__(self, net):
+            super().__init__(net, "out", "Taken", "clog")
+
+    async def work(ground):
+        await anyio.sleep(1.0)
+        link, _ = await hello_of(ground, session="s")
+        await flood(link, [pb.Submit(key="a", job=spec("feed"), follow=True)])
+        await anyio.sleep(6.0)
+        return len(ground.servers["c1"].front.clients), judged(ground, day)
+
+    clients, breaches = play.in_memory(day, work, runtime=Clogged)
+    assert clients == 0 and not breaches
+
+
+def test_a_host_that_speaks_and_reads_nothing_loses_its_link(tmp_path):
+    # guards against a queue that grows with each word of a host that never reads what it is answered
+    day = day_of(tmp_path)
+    held = []
+
+    class Clogged(Stallable):
+        def __init__(self, setup, store, net, log, policy):
+            super().__init__(setup, store, Breaker(net, "out", "Offer", "clog"), log, policy)
+
+    async def work(ground):
+        await anyio.sleep(1.0)
+
+        async def talk():       # the host goes on talking of launches that are unknown
+            while True:
+                for host in ("h01", "h02", "h03"):
+                    peer = ground.servers[host].peers.get("c1")
+                    if peer is not None:
+                        for number in range(20):
+                            await peer.link.send(encode(pb.Ended(launch=pb.LaunchId(controller="c1", life=1,
+                                                                                    number=10 ** 6 + number))))
+                held.append(max((len(link.outbox) for link in ground.servers["c1"].links.values()), default=0))
+                await anyio.sleep(0.01)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(talk)
+            async with Client.connect(ground.net, ("c1", 1), "good") as client:
+                verdict = (await client.submit(FEED)).verdict
+            await anyio.sleep(5.0)
+            tasks.cancel_scope.cancel()
+        return verdict, judged(ground, day)
+
+    verdict, breaches = play.in_memory(day, work, runtime=Clogged)
+    assert verdict in ("placed", "written off") and not breaches
+    assert max(held) <= 4000, max(held)
+
+
+@pytest.mark.anyio
+async def test_the_system_asks_after_peers_that_are_silent(anyio_backend):
+    # a machine that lost its power closes nothing: only the system's own asking tells
+    seen = []
+
+    async def handle(stream):
+        seen.append(stream.extra(anyio.abc.SocketAttribute.raw_socket))
+        await anyio.sleep(0.2)
+
+    async with anyio.create_task_group() as tasks:
+        address = await tasks.start(TcpNet().serve, ("127.0.0.1", 0), handle)
+        stream = await TcpNet().connect(address)
+        seen.append(stream.extra(anyio.abc.SocketAttribute.raw_socket))
+        await anyio.sleep(0.1)
+        for raw in seen:
+            assert raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            if hasattr(socket, "TCP_KEEPIDLE"):
+                assert raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) <= 60
+        assert len(seen) == 2
+        await stream.aclose()
+        tasks.cancel_scope.cancel()
