Name figures out of all measure, keys that do not fit, and a file that changes while read

Seen: 9 repeated 400 times was taken as an endless expiry, size or limit, or ended check-config in a traceback (OverflowError); tick = 3600 let a controller stand still for an hour; limits.work of a frame's size let an Offer outgrow the frame, which ends the controller; group, window and most that do not fit their offering were dropped without a word; a file read while it was written, cut between two blocks, was believed. Ruled out: 1e999 (no number in this HCL), cuts at each of 170 bytes of a file (each sound or one plain line), the state (untouched by a start on a faulty file). At fault: settings.build.number, settings.cluster.values, parse_cluster and read_cluster.

--- a/linedeal/settings/build.py
+++ b/linedeal/settings/build.py
@@ -22,9 +22,13 @@
         raise BadSetting(f"{path} is missing")
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise BadSetting(f"{path} is not a number")
+    try:
+        value = float(value)
+    except OverflowError:
+        raise BadSetting(f"{path} is larger than can be reckoned with") from None
     if math.isnan(value):
         raise BadSetting(f"{path} is not a number")
-    return float(value)
+    return value
 
 
 def typed(value, kind: type, path: str):
--- a/linedeal/settings/cluster.py
+++ b/linedeal/settings/cluster.py
@@ -16,6 +16,8 @@
 PLACES = {"none": api.Place.NONE, "host": api.Place.HOST, "cell": api.Place.CELL, "zone": api.Place.ZONE,
           "all": api.Place.ALL}
 NEEDED = object()
+LARGEST = 1e15          # of any figure: sums and products of such stay finite, and times keep their milliseconds
+MOST = {"tick": 1.0, "work": 1_000_000}     # seconds; bytes that a frame carries beside the rest of a job
 
 
 class ConfigFault(Exception):
@@ -100,11 +102,15 @@
     """The records of a cluster file. Raises ConfigFault with every fault of the file."""
     try:
         text = Path(path).read_text(encoding="utf-8")
+        cluster = parse_cluster(text, str(path))
+        # guards against a file that somebody is writing: cut between two blocks it is sound, and lacks the rest
+        if Path(path).is_file() and Path(path).read_text(encoding="utf-8") != text:
+            raise ConfigFault([f"{path}: changed while it was read"])
+        return cluster
     except OSError as error:
         raise ConfigFault([f"{path}: cannot be read: {error.strerror}"]) from None
     except UnicodeDecodeError as error:
         raise ConfigFault([f"{path}: not UTF-8 at byte {error.start}"]) from None
-    return parse_cluster(text, str(path))
 
 
 def parse_cluster(text: str, name: str = "cluster.hcl") -> Cluster:
@@ -146,6 +152,12 @@
             fault(f"customer {customer}", "cores or key is missing")
         if item["key"] is not None and not FORM.fullmatch(item["key"]):
             fault(f"customer {customer}", "key is no hash; `linedeal key` makes one")
+    for offering, item in blocks["offering"].items():
+        for key, default in (("group", "none"), ("window", 0.0)):
+            if item[key] != default and item["effect"] != "labelled":
+                fault(f"offering {offering}", f"{key} is for labelled offerings, this one is {item['effect']}")
+        if item["most"] and item["spread"] == "none":
+            fault(f"offering {offering}", "most is for offerings with a spread")
     if keys.needed and not keys.hashes:
         fault("clients", "keys_needed, and no customer has a key")
     for where, said in build.faults(settings) + build.doubts(settings):
@@ -196,6 +208,9 @@
                 found[key] = value
             else:
                 found[key] = build.typed(value, kind, key)
+                most = MOST.get(key, LARGEST)
+                if isinstance(found[key], (int, float)) and not -most <= found[key] <= most:
+                    raise build.BadSetting(f"{key} is out of all measure, at most {most:g} is taken")
         except build.BadSetting as error:
             fault(where, str(error))
     return found
--- a/tests/test_store_and_settings.py
+++ b/tests/test_store_and_settings.py
@@ -1,6 +1,8 @@
 """What lies on disk, and what is read at the start."""
 
 import sqlite3
+import subprocess
+import sys
 import zlib
 
 import msgspec
@@ -12,6 +14,7 @@
 from linedeal.engine.events import ListedHost
 from linedeal.interface import Effect, Mode, Place
 from linedeal.lab.day import DayFault, parse_day
+from linedeal.settings import cluster as settings_cluster
 from linedeal.settings.cluster import ConfigFault, parse_cluster, read_cluster
 from linedeal.state import Store, StoreFault, steady, upgrade
 from linedeal.state.journal import Journal
@@ -269,3 +272,100 @@
 def test_faulty_bounds_of_the_journal_are_named(text, said):
     with pytest.raises(ConfigFault, match=said):
         parse_cluster(PLAIN + text)
+
+
+# a configuration that is half written, extreme, or not what it seems
+
+SMALL = """cluster {
+  controllers = 2
+}
+kind "std" {
+  cores = 10
+  memory = 20
+}
+offering "feed" {
+  expiry = 6
+  effect = "irreversible"
+}
+customer "paper" {
+  cores = 4
+}
+"""
+
+
+BIG = "9" * 400
+
+
+@pytest.mark.parametrize("block, line", [
+    ("cluster", f"controllers = {BIG}"), ("cluster", "controllers = " + BIG), ("cluster", f"accepts_cores = {BIG}.0"),
+    ("cluster", "accepts_memory = 1e-400"), ("cluster", f"host_price = {BIG}.0"), ("cluster", "max_launches = " + "9" * 30),
+    ("kind", f"cores = {BIG}.0"), ("kind", "memory = " + BIG), ("offering", f"expiry = {BIG}.0"),
+    ("offering", f"calm = {BIG}.0"), ("offering", f"fade = {BIG}.0"), ("offering", f"value = {BIG}.0"),
+    ("customer", f"cores = {BIG}.0"), ("limits", f"tick = {BIG}.0"), ("limits", "tick = 3600"), ("limits", f"hold = {BIG}.0"),
+    ("limits", f"held = {BIG}"), ("limits", "work = 1048576"), ("limits", f"client_idle = {BIG}.0"), ("young", f"span = {BIG}.0"), ("young", f"time = {BIG}.0"),
+    ("rules", f"answer_slack = {BIG}.0"), ("journal", f"answers_kept = {BIG}.0"), ("journal", "most = " + BIG)])
+def test_extreme_figures_are_one_plain_line(block, line):
+    key = line.split()[0]
+    if f"\n{block} " in "\n" + SMALL:
+        start = SMALL.index(f"{block} ")
+        end = SMALL.index("}", start)
+        kept = "".join(item for item in SMALL[start:end].splitlines(keepends=True) if item.split()[0] != key)
+        text = SMALL[:start] + kept + f"  {line}\n" + SMALL[end:]
+    else:
+        text = SMALL + f"{block} {{\n  {line}\n}}\n"
+    with pytest.raises(ConfigFault) as caught:
+        parse_cluster(text)
+    assert all(len(said) < 200 and "\n" not in said for said in caught.value.lines), caught.value.lines
+    assert any(key in said and said.startswith(f"cluster.hcl: {block}") for said in caught.value.lines), caught.value.lines
+
+
+@pytest.mark.parametrize("line, said", [
+    ('group = "zone"', "offering feed: group is for labelled offerings, this one is irreversible"),
+    ("window = 4", "offering feed: window is for labelled offerings, this one is irreversible"),
+    ("most = 2", "offering feed: most is for offerings with a spread")])
+def test_what_does_not_fit_its_offering_is_named_and_not_dropped(line, said):
+    with pytest.raises(ConfigFault, match=said):
+        parse_cluster(SMALL.replace('effect = "irreversible"', f'effect = "irreversible"\n  {line}'))
+
+
+def test_a_file_cut_at_any_byte_is_sound_or_named_in_plain_lines():
+    sound = []
+    for cut in range(len(SMALL)):
+        try:
+            parse_cluster(SMALL[:cut])
+            sound.append(cut)
+        except ConfigFault as error:
+            assert error.lines and all("\n" not in line and len(line) < 300 for line in error.lines)
+    # between two blocks it is sound: only the blocks that came before its end are there
+    assert all(SMALL[:cut].rstrip().endswith("}") for cut in sound) and len(sound) < 8
+
+
+def test_a_file_that_changes_while_it_is_read_is_not_believed(tmp_path, monkeypatch):
+    path = tmp_path / "cluster.hcl"
+    path.write_text(SMALL[:SMALL.index("customer")])     # sound as far as it goes
+    parse = settings_cluster.parse_cluster
+
+    def slowly(text, name):
+        path.write_text(SMALL)
+        return parse(text, name)
+    monkeypatch.setattr(settings_cluster, "parse_cluster", slowly)
+    with pytest.raises(ConfigFault, match="changed while it was read"):
+        settings_cluster.read_cluster(path)
+    monkeypatch.undo()
+    assert settings_cluster.read_cluster(path).settings.quotas == {"paper": 4.0}
+
+
+def test_a_controller_with_a_faulty_file_leaves_its_state_as_it_was(tmp_path):
+    store = Store(tmp_path / "state")
+    life = store.next_life()
+    store.close()
+    before = {path.name: path.read_bytes() for path in (tmp_path / "state").iterdir()}
+    (tmp_path / "cluster.hcl").write_text(SMALL[:-30])
+    done = subprocess.run([sys.executable, "-m", "linedeal", "controller", "--name", "c", "--cluster",
+                           tmp_path / "cluster.hcl", "--discovery", "127.0.0.1:1", "--state", tmp_path / "state"],
+                          capture_output=True, text=True, timeout=30)
+    assert done.returncode == 1 and len(done.stderr.strip().splitlines()) == 1, done
+    assert {path.name: path.read_bytes() for path in (tmp_path / "state").iterdir()} == before
+    store = Store(tmp_path / "state")
+    assert store.next_life() == life + 1
+    store.close()
