Leave work out of what a host tells of its jobs: a welcome outgrew its frame

Seen: a stand-in host that held 24 jobs with 60 kB of work each could not say welcome to a controller's next life: 1.2 MB in one frame, FrameError, and the host ended with all its jobs. Ruled out: the controller's side (it never reads work from there).

--- a/linedeal/standin/model.py
+++ b/linedeal/standin/model.py
@@ -95,7 +95,7 @@
         for copy in [c for c in self.queue if c.id[0] == controller and c.id[1] < life]:
             self.queue.remove(copy)
             del self.copies[copy.id]
-        held = [pb.Held(launch=c.launch(), job=c.job, phase=c.phase, outcome=c.outcome, reason=c.reason,
+        held = [pb.Held(launch=c.launch(), job=without_work(c.job), phase=c.phase, outcome=c.outcome, reason=c.reason,
                         ran=c.ran)
                 for table in (self.copies, self.over) for c in table.values() if c.id[0] == controller]
         return pb.Welcome(version=1, name=self.name, boot=self.boot, age=self.now_age, held=held, forgot=self.forgot)
@@ -341,5 +341,12 @@
                 "queue": len(self.queue) + len(self.starts), "jobs": len(self.copies)}
 
 
+def without_work(job):
+    """What a host tells of a job it holds: with the work of a few dozen a welcome would outgrow a frame."""
+    told = pb.JobSpec.FromString(job.SerializeToString())
+    told.ClearField("work")
+    return told
+
+
 def key(launch) -> tuple[str, int, int]:
     return launch.controller, launch.life, launch.number
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -1,6 +1,7 @@
 """Links that break, hang or trickle at each message that matters, and clients that flood, against whole controllers over
 pipes in memory. docs/hardening-review.md has the table; each case ends with the five rules, judged from the record."""
 
+import random
 import socket
 
 import anyio
@@ -17,6 +18,7 @@
 from linedeal.net import LinkLost, TcpNet, open_link
 from linedeal.net.base import LOST
 from linedeal.protocol import VERSION, FrameReader, encode, pb
+from linedeal.settings.keys import hash_of
 from tests.ground import CLUSTER
 
 CLUSTER = CLUSTER.replace("controllers = 2", "controllers = 1").replace("held = 20000", "held = 20000\n  connect = 0.5\n  link_silent = 1.0\n  watch = 0.6\n  hello = 1")
@@ -432,3 +434,22 @@
         assert len(seen) == 2
         await stream.aclose()
         tasks.cancel_scope.cancel()
+
+
+def test_a_host_that_holds_much_work_is_heard_after_a_restart(tmp_path):
+    day = day_of(tmp_path, hosts=1)
+
+    async def work(ground):
+        await anyio.sleep(1.0)
+        async with Owner.open(ground.net, Contact((("c1", 1),), "s")) as owner:
+            asks = [JobAsk("feed", "", "v", 0.01, 0.01) for _ in range(24)]
+            keys = [await owner.submit(ask, work=pb.Work(command="x", input=random.Random(i).randbytes(30_000).hex())) for i, ask in enumerate(asks)]
+            await anyio.sleep(0.3)
+            await ground.kill("c1")
+            await ground.start("c1")
+            with anyio.fail_after(20):
+                found = await owner.until(keys, lambda standing: standing.over, every=True)
+        return found, judged(ground, day)
+
+    found, breaches = play.in_memory(day, work)
+    assert not breaches
