--- a/linedeal/controller/front.py
+++ b/linedeal/controller/front.py
@@ -10,6 +10,7 @@
 from linedeal.controller import owners, translate
 from linedeal.controller.inbox import Inbox
 from linedeal.engine import events as on
+from linedeal.engine.admission import may_take
 from linedeal.net import Address, Link, LinkLost, Net, until_lost
 from linedeal.protocol import VERSION, encode, pb
 from linedeal.settings.cluster import Cluster
@@ -41,6 +42,7 @@
         self.clients: dict[int, Client] = {}
         self.numbers = 0
         self.strangers = 0          # links that have not said who they are
+        self.links: dict[str, int] = {}     # of each customer that has shown its key
         self.closing = False
 
     async def run(self, address: Address, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
@@ -66,6 +68,7 @@
         try:
             await self.greet(client)
             self.clients[client.number] = client
+            self.links[client.proven] = self.links.get(client.proven, 0) + 1
             await self.serve(client)
         except LinkLost as error:
             why = str(error)
@@ -73,6 +76,9 @@
             known = self.clients.pop(client.number, None)
             await link.close()
             if known is not None:
+                self.links[client.proven] -= 1
+                if not self.links[client.proven]:
+                    del self.links[client.proven]
                 with anyio.CancelScope(shield=True):
                     await self.inbox.post(on.ClientLeft(client.number))
         if why != "closed by the other side":
@@ -97,6 +103,11 @@
                 except owners.NotAdmitted as error:
                     await client.link.send(encode(pb.Bye(reason=str(error))))
                     raise LinkLost(str(error)) from None
+                # guards the other customers against one that opens all the links there are
+                mine = self.links.get(client.proven, 0)
+                if client.proven and not may_take(len(self.clients), self.limits.clients, mine, len(self.links)):
+                    await client.link.send(encode(pb.Bye(reason="too many clients", retry_after=self.limits.retry_after)))
+                    raise LinkLost("too many clients of this customer")
                 client.name = hello.name[:80]
                 client.session = owners.qualified(client.proven, hello.session[:SESSION_MOST])
                 await client.link.send(encode(pb.Welcome(
--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -19,7 +19,7 @@
 from linedeal.policy import Controller
 from linedeal.settings.cluster import Cluster
 from linedeal.state import Store, StoreFault, steady
-from linedeal.state.journal import Journal, to_keep
+from linedeal.state.journal import FULL_AT, Journal, to_keep
 
 KEEP_EVERY = 1.0        # seconds between two writes of the list
 ROOM_EVERY = 1.0        # seconds between two looks at the journal's room
@@ -132,6 +132,7 @@
     async def watch_room(self) -> None:
         while True:
             self.mind_room(await self.on_disk(self.journal.look))
+            self.engine.room = self.journal.used(), int(self.journal.most * FULL_AT)
             await anyio.sleep(ROOM_EVERY)
 
     def mind_room(self, full: bool) -> None:
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -73,6 +73,7 @@
         self.keys: dict[tuple[int | str, str], str] = {}     # by owner and key
         self.sessions = Sessions(self)
         self.full = False           # the journal has room for what is taken only
+        self.room = 0, 1 << 62      # bytes of the journal in use, and those at which it counts as full
         self.pending: dict[str, recovery.OpenJob] = {}      # of an earlier life, not settled yet
         self.pending_at: dict[str, list[str]] = {}          # ... by the hosts of their launches
         self.returning: deque[str] = deque()                # go back to the module, some a turn
@@ -228,7 +229,8 @@
             return "this key waits already"
         if not self.ready:
             return "no list of hosts yet"
-        if self.full and event.session:
+        if event.session and (self.full or not may_take(
+                *self.room, self.sessions.bytes.get(event.customer, 0), len(self.sessions.bytes))):
             return "the journal is full"
         if not may_take(len(self.taken), self.cluster.limits.held, self.holds.get(event.customer, 0),
                         len(self.holds)):
--- a/linedeal/engine/sessions.py
+++ b/linedeal/engine/sessions.py
@@ -10,6 +10,7 @@
 from linedeal.engine.control import Fault, Move
 from linedeal.engine.ledger import AT_HOST, Entry, Ledger, Stage
 
+RECORD = 300        # bytes that the journal takes for a job without work
 PAGE = 200          # jobs told in one go; the client asks for the next
 KEPT_MOST = 100_000     # jobs kept after their end for owners that do not come; then the oldest go
 
@@ -18,6 +19,7 @@
     def __init__(self, engine):
         self.engine = engine
         self.ledger = Ledger()
+        self.bytes: dict[str, int] = {}         # of each customer's jobs in the journal, roughly
         self.followers: dict[str, dict[int, None]] = {}         # links that are told of each change, by session
         self.unaccounted: dict[str, list[Entry]] = {}           # placed by an earlier life, by host
         self.over: dict[str, dict[tuple[str, str], None]] = {}  # kept after their end, by customer, oldest first
@@ -53,7 +55,7 @@
     def took(self, event: on.Submitted, job: api.Job, wait: float) -> Entry:
         stage = Stage.HELD if event.hold else Stage.LATER if event.start_in else Stage.WAITING
         entry = Entry(event.session, event.key, job, event.work, event.follow, stage, self.engine.now)
-        self.ledger.add(entry)
+        self.add(entry)
         if event.follow:
             self.follow(event.session, event.client)
         if stage is not Stage.WAITING:
@@ -248,8 +250,17 @@
         if self.engine.now >= since + self.engine.cluster.journal.answers_kept - 1e-6:
             self.forget(entry)      # else the key names a newer job, which has a timer of its own
 
+    def add(self, entry: Entry) -> None:
+        self.ledger.add(entry)
+        customer = entry.job.customer
+        self.bytes[customer] = self.bytes.get(customer, 0) + RECORD + len(entry.work)
+
     def forget(self, entry: Entry) -> None:
         self.ledger.drop(entry)
+        customer = entry.job.customer
+        self.bytes[customer] -= RECORD + len(entry.work)
+        if not self.bytes[customer]:
+            del self.bytes[customer]
         mine = self.over.get(entry.job.customer, {})
         if (entry.session, entry.key) in mine:
             del mine[entry.session, entry.key]
@@ -274,7 +285,7 @@
     def recover_open(self, job: recovery.OpenJob, record: api.Job) -> Entry:
         stage = Stage.HELD if job.held else Stage.LATER if job.start_in else Stage.WAITING
         entry = Entry(job.session, job.key, record, job.work, job.follow, stage, self.engine.now - job.taken_ago)
-        self.ledger.add(entry)
+        self.add(entry)
         if stage is not Stage.WAITING:
             self.set_aside(entry, job.expires_in, job.start_in)
         return entry
@@ -285,7 +296,7 @@
                       now - kept.placed_ago if kept.placed_ago is not None else None,
                       now - kept.ended_ago if kept.ended_ago is not None else None,
                       kept.host, kept.launch, kept.reason, kept.ran, kept.ending)
-        self.ledger.add(entry)
+        self.add(entry)
         if entry.stage in AT_HOST and entry.follow:
             self.unaccounted.setdefault(entry.host, []).append(entry)
         else:
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -436,6 +436,26 @@
         tasks.cancel_scope.cancel()
 
 
+def test_one_customer_cannot_use_up_the_links(tmp_path):
+    keys = "".join(f'customer "{name}" {{\n  key = "{hash_of(name)}"\n}}\n' for name in ("crowd", "school"))
+    day = day_of(tmp_path, CLUSTER.replace("hello = 1", "hello = 1\n  clients = 16") + keys)
+
+    async def work(ground):
+        await anyio.sleep(1.0)
+        crowd = []
+        for _ in range(20):
+            link, said = await hello_of(ground, customer="crowd", token="crowd")
+            crowd.append((link, type(said).__name__))
+        _, said = await hello_of(ground, customer="school", token="school")
+        for link, _ in crowd:
+            await link.close()
+        await anyio.sleep(0.5)
+        return [name for _, name in crowd], type(said).__name__, dict(ground.servers["c1"].front.links)
+
+    crowd, school, left = play.in_memory(day, work)
+    assert (crowd.count("Welcome"), school, left) == (14, "Welcome", {"school": 1})
+
+
 def test_a_host_that_holds_much_work_is_heard_after_a_restart(tmp_path):
     day = day_of(tmp_path, hosts=1)
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -271,3 +271,17 @@
     d.engine.timers.arm(0.3, "return", "")
     assert not d.only(do.SendLaunch, d.rest(9.0))
     assert d.kept(10.0) == {"c.1.1": "written off"}
+
+
+def test_one_customer_cannot_use_up_the_journal():
+    d = Watched()
+    d.list("ab", 0.1, mode=Mode.DRAINING)
+    for i in range(20):
+        assert d.only(do.Take, d.ask(1.0, key=f"k{i}", customer="crowd", session="c", work=b"x" * 60_000))
+    d.engine.room = 1_200_000, 1_300_000        # as the journal would say of that, bound included
+    assert d.only(do.TurnAway, d.ask(1.1, key="more", customer="crowd", session="c", work=b"x" * 60_000))
+    assert d.only(do.Take, d.ask(1.1, key="school", customer="school", session="s"))
+    for i in range(20):     # as its jobs go it may have more
+        d.turn(1.2, on.TakenBack(1, f"k{i}", "c"))
+    assert d.only(do.Take, d.ask(1.3, key="more", customer="crowd", session="c"))
+    assert d.engine.sessions.bytes == {"school": sessions.RECORD, "crowd": sessions.RECORD}
