--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -23,7 +23,6 @@
 
 KEEP_EVERY = 1.0        # seconds between two writes of the list
 ROOM_EVERY = 1.0        # seconds between two looks at the journal's room
-COMPACT_EVERY = 60.0    # seconds between two looks, over all of it, for what was kept long enough
 TELL_EVERY = 10.0       # seconds between two lines that sum up
 
 
@@ -77,7 +76,6 @@
             self.tasks.start_soon(self.watch.run)
             self.tasks.start_soon(self.keep_list)
             self.tasks.start_soon(self.tell)
-            self.tasks.start_soon(self.compact)
             self.tasks.start_soon(self.watch_room)
             address = await self.tasks.start(self.front.run, self.setup.listen)
             self.log.info("takes jobs", address=f"{address[0]}:{address[1]}")
@@ -118,17 +116,6 @@
         if self.journal.full:
             self.mind_room(True)
 
-    async def compact(self) -> None:
-        """What timers of this life have not dropped goes in the end, some at a time."""
-        while True:
-            try:
-                dropped = await self.on_disk(self.journal.compact, self.journal_time(),
-                                             self.setup.cluster.journal.answers_kept)
-            except StoreFault as error:
-                self.log.error("journal not compacted", reason=str(error))
-                dropped = 0
-            await anyio.sleep(0.1 if dropped else COMPACT_EVERY)
-
     async def watch_room(self) -> None:
         while True:
             self.mind_room(await self.on_disk(self.journal.look))
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -688,6 +688,7 @@
     "module": Engine.module_due, "launch": Engine.launch_due, "stray": Engine.stray_due, "probe": Engine.probe_due,
     "launch at last": Engine.launch_due, "probe at last": Engine.probe_due, "asking": Engine.asking_due,
     "relink": Engine.relink_due, "return": Engine.return_due, "settle": Engine.settle_due,
+    "too many kept": lambda engine, _: engine.sessions.too_many_kept(),
     "forget": lambda engine, key: engine.sessions.forget_due(key),
     "later": lambda engine, job: engine.sessions.later_due(job),
     "held too long": lambda engine, job: engine.sessions.held_too_long(job),
--- a/linedeal/engine/sessions.py
+++ b/linedeal/engine/sessions.py
@@ -275,7 +275,11 @@
         self.kept += key not in mine
         mine[key] = None
         engine.timers.arm(engine.now + max(0.0, engine.cluster.journal.answers_kept - passed), "forget", key)
-        if self.kept > KEPT_MOST:
+        if self.kept == KEPT_MOST + 1:      # in a turn, which writes to the journal what it forgets
+            engine.timers.arm(engine.now, "too many kept", "")
+
+    def too_many_kept(self) -> None:
+        while self.kept > KEPT_MOST:
             # of the customer that has most: an answer that another has not seen is asked for again, and would run twice
             most = max(self.over.values(), key=len)
             self.forget(self.ledger.entries[next(iter(most))])
--- a/linedeal/state/journal.py
+++ b/linedeal/state/journal.py
@@ -205,19 +205,6 @@
                                      bool(held), max(0.001, starts - at) if starts is not None else 0.0, ago(taken), promise))
         return Found(tuple(open_jobs), tuple(answers))
 
-    def compact(self, at: float, keep_answers: float) -> int:
-        """Drops what was kept for its owner longer than that; returns how many jobs. A clock that was set back drops
-        none early."""
-        try:
-            old = [row[0] for row in self.db.execute(
-                "SELECT id FROM jobs WHERE ended < :at OR follow = 0 AND answered < :at LIMIT 5000",
-                {"at": at - keep_answers})]
-            if old:
-                self.transact(at, 0, [do.KeepNoMore(job_id) for job_id in old])
-        except sqlite3.Error as error:
-            raise StoreFault(f"{self.store.path}: journal cannot be compacted: {error}") from None
-        return len(old)
-
 
 def is_full(error: sqlite3.Error) -> bool:
     code = getattr(error, "sqlite_errorcode", None)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -8,6 +8,7 @@
 from linedeal.engine import Engine
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
+from linedeal.engine import sessions
 from linedeal.engine.recovery import Account, OldLaunch, OpenJob, Step, next_step
 from linedeal.interface import Effect
 from linedeal.settings.cluster import parse_cluster
@@ -141,12 +142,34 @@
         journal.read(1.0, 6.0)
 
 
-def test_answers_go_when_kept_long_enough(tmp_path):
-    journal = Journal(Store(tmp_path))
-    journal.write(1.0, 1, [take(), launch(), do.Answer(1, "k", JOB.id, do.Verdict.PLACED, "a", True)])
-    assert journal.compact(100.0, 600.0) == 0
-    assert journal.compact(700.0, 600.0) == 1
-    assert journal.db.execute("SELECT (SELECT count(*) FROM jobs) + (SELECT count(*) FROM launches)").fetchone() == (0,)
+@pytest.mark.parametrize("killed_at, most", [(None, 100), (300.0, 100), (5000.0, 100), (300.0, 3)])
+def test_answers_go_when_kept_long_enough(tmp_path, monkeypatch, killed_at, most):
+    # by the timers of this life or of the next: nothing else looks through the journal
+    monkeypatch.setattr(sessions, "KEPT_MOST", most)
+    store = Store(tmp_path)
+    journal = Journal(store)
+    d = Drive(life=1)
+
+    def step(effects, now):
+        journal.write(now, d.engine.life, to_keep(effects))
+
+    for i in range(5):
+        sent = d.turn(1.0, on.Submitted(1, f"k{i}", "web", "", "v", 1.0, 1.0, 0.0, "s"))
+        step(sent, 1.0)
+        launch = d.only(do.SendLaunch, sent)[0]
+        step(d.turn(1.1, on.Accepted(launch.host, on.LaunchId(1, launch.number))), 1.1)
+    rows = "SELECT (SELECT count(*) FROM jobs) + (SELECT count(*) FROM launches)"
+    begun = 0.0
+    if killed_at:
+        found = journal.read(killed_at, 6.0)
+        d, begun = Drive(life=2), killed_at
+        d.engine.recover(found.open, found.answers)
+    for now in (begun + 1.0, begun + 200.0, begun + 700.0):
+        step(d.rest(now - begun), now)
+        if now == begun + 1.0 and killed_at != 5000.0:
+            assert journal.db.execute(rows).fetchone() == (2 * min(most, 5),)
+    assert journal.db.execute(rows).fetchone() == (0,)
+    store.close()
 
 
 # sessions at the engine
