Remove features of hellos, names of unread report figures and two unread attributes

Evidence: Hello.features was sent by one place and read by none, Welcome.features neither; the adapter renamed four report figures that the module does not read; Runtime.kept_at and version were set only.

--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -53,7 +53,7 @@
         self.policy = policy
         self.links: dict[str, HostLink] = {}
         self.kept: dict[str, on.ListedHost] = {}
-        self.kept_at, self.version, self.dirty = 0.0, 0, anyio.Event()
+        self.dirty = anyio.Event()
         self.leaving = anyio.Event()
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
--- a/linedeal/controller/watch.py
+++ b/linedeal/controller/watch.py
@@ -27,7 +27,7 @@
             link, why = None, ""
             try:
                 link, welcome = await open_link(self.net, self.address, encode(pb.Hello(
-                    version=VERSION, features=["zstd"], role=pb.CONTROLLER, name=self.controller, life=self.life)),
+                    version=VERSION, role=pb.CONTROLLER, name=self.controller, life=self.life)),
                     self.limits.watch)
                 if not isinstance(welcome, pb.Welcome):
                     raise LinkLost(f"{type(welcome).__name__} in place of a welcome")
--- a/linedeal/wirehost.py
+++ b/linedeal/wirehost.py
@@ -22,7 +22,6 @@
 }
 NOTES = {1: "started", 2: "cores", 3: "memory", 4: "served", 5: "host_memory"}
 MODES = {"SERVING": api.Mode.SERVING, "DRAINING": api.Mode.DRAINING, "DELETED": api.Mode.GONE}
-REPORT = {"pending": "queue", "cpu_share": "busy", "busy_reqs": "jobs", "svc_ms": "start_ms"}
 
 
 class BadInput(Exception):
@@ -36,8 +35,8 @@
         self.free = ("idle_cores", "idle_memory") if free_by == "used" else ("unasked_cores", "unasked_memory")
 
     def report(self, pairs):
-        names = dict(REPORT, x0=self.free[0], x1=self.free[1])
-        return {names.get(name, name): value for name, value in (pairs or {}).items()}
+        names = {"x0": self.free[0], "x1": self.free[1]}
+        return {names[name]: value for name, value in (pairs or {}).items() if name in names}
 
 
 class WireHost:
