Play sixteen changes of configuration between two lives, with jobs at every stage

Each of 15 jobs (three effects; held, later, waiting, running, launched) came to one end, rules kept. Without the promise in a job's record one case breaks rule 2; without the check at a release four end the controller.

--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,6 +3,7 @@
 
 import random
 import socket
+from dataclasses import replace
 
 import anyio
 import anyio.abc
@@ -11,13 +12,14 @@
 from linedeal import audit
 from linedeal.client import Client, JobAsk
 from linedeal.client.contact import Contact
-from linedeal.client.owner import Owner
+from linedeal.client.owner import RELEASE, OrderRefused, Owner
 from linedeal.lab import play
 from linedeal.lab.day import parse_day
 from linedeal.lab.inprocess import Stallable
 from linedeal.net import LinkLost, TcpNet, open_link
 from linedeal.net.base import LOST
 from linedeal.protocol import VERSION, FrameReader, encode, pb
+from linedeal.settings.cluster import parse_cluster
 from linedeal.settings.keys import hash_of
 from tests.ground import CLUSTER
 
@@ -473,3 +475,79 @@
 
     found, breaches = play.in_memory(day, work)
     assert not breaches
+
+
+# a configuration that is another in the next life, with jobs at every stage
+
+def without(text, block):
+    start = text.index(block)
+    return text[:start] + text[text.index("}\n", start) + 2:]
+
+
+CHANGES = {
+    "nothing": lambda text: text,
+    "an offering is gone": lambda text: without(text, 'offering "feed"'),
+    "two offerings are gone": lambda text: without(without(text, 'offering "feed"'), 'offering "mail"'),
+    "irreversible becomes redoable": lambda text: text.replace('effect = "irreversible"', 'effect = "redoable"'),
+    "redoable becomes irreversible": lambda text: text.replace('effect = "redoable"', 'effect = "irreversible"', 1),
+    "a wider group and window": lambda text: text.replace('group = "zone"', 'group = "all"').replace("window = 4",
+                                                                                                     "window = 60"),
+    "shorter expiries": lambda text: text.replace("expiry = 6", "expiry = 2"),
+    "longer expiries": lambda text: text.replace("expiry = 6", "expiry = 60"),
+    "more controllers": lambda text: text.replace("controllers = 1", "controllers = 8"),
+    "another confirmation": lambda text: text.replace('confirms = "accepted"', 'confirms = "running"'),
+    "the kind is gone": lambda text: text.replace('kind "std"', 'kind "other"'),
+    "the kind is smaller": lambda text: text.replace("cores = 10", "cores = 1"),
+    "customers with quotas and keys": lambda text: text + f'customer "x" {{\n  cores = 1\n  key = "{hash_of("x")}"\n}}\n',
+    "far less may be held": lambda text: text.replace("held = 20000", "held = 1"),
+    "a journal with hardly any room": lambda text: text + "journal {\n  most = 1048577\n}\n",
+    "holds end soon": lambda text: text.replace("held = 20000", "held = 20000\n  hold = 1"),
+}
+
+
+@pytest.mark.parametrize("reborn", [False, True])
+@pytest.mark.parametrize("change", CHANGES)
+def test_a_configuration_that_changed_between_two_lives(tmp_path, change, reborn):
+    day = day_of(tmp_path)
+    after = parse_cluster(CHANGES[change](CLUSTER))
+    asks = {"web": WEB, "mail": MAIL, "feed": FEED}
+
+    async def work(ground):
+        await anyio.sleep(4.0)
+        async with Owner.open(ground.net, Contact((("c1", 1),), "s")) as owner:
+            keys = {}
+            for name, asked in asks.items():
+                keys[name, "held"] = await owner.submit(asked, hold=True)
+                keys[name, "later"] = await owner.submit(asked, start_in=4.0)
+                keys[name, "waiting"] = await owner.submit(replace(asked, cores=99.0))
+                keys[name, "running"] = await owner.submit(asked)
+            await anyio.sleep(0.5)
+            for host in ("h01", "h02", "h03"):
+                await ground.order(host, {"mute": True})
+            for name, asked in asks.items():
+                keys[name, "launched"] = await owner.submit(asked)
+            await anyio.sleep(0.1)
+            await ground.kill("c1")
+            for host in ("h01", "h02", "h03"):
+                if reborn:      # whatever was launched there may have run
+                    await ground.kill(host)
+                    await ground.start(host)
+                await ground.order(host, {"mute": False})
+            ground.day = replace(day, cluster=after)
+            await ground.start("c1")
+            await anyio.sleep(1.0)
+            for name in asks:
+                try:
+                    await owner.order(keys[name, "held"], RELEASE)
+                except OrderRefused:
+                    pass        # its hold has ended
+            with anyio.move_on_after(30.0):
+                await owner.until(keys.values(), lambda standing: standing.over, every=True)
+            told = {stage: owner.standing(key).stage for stage, key in keys.items()}
+        engine = ground.servers["c1"].engine
+        return told, dict(engine.taken), judged(ground, day)
+
+    told, taken, breaches = play.in_memory(day, work)
+    assert not taken and not breaches, breaches
+    open_ = {stage: state for stage, state in told.items() if state in ("held", "later", "waiting", "placed", "running")}
+    assert not open_, open_
