--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -551,3 +551,27 @@
     assert not taken and not breaches, breaches
     open_ = {stage: state for stage, state in told.items() if state in ("held", "later", "waiting", "placed", "running")}
     assert not open_, open_
+
+
+def test_a_list_whose_link_is_half_open_is_asked_for_again(tmp_path):
+    # guards against drains that are never heard of: nothing but asking tells a silent watch from a quiet cluster
+    day = day_of(tmp_path)
+
+    class Deaf(Stallable):
+        def __init__(self, setup, store, net, log, policy):
+            self.breaker = Breaker(net, "in", "HostList", "half open")
+            self.breaker.struck = True
+            super().__init__(setup, store, self.breaker, log, policy)
+
+    async def work(ground):
+        await anyio.sleep(2.0)
+        ground.servers["c1"].breaker.struck = False       # the next news is lost, and all after it on that link
+        await ground.order("h01", {"drain": True})
+        await anyio.sleep(2.0)
+        known = ground.servers["c1"].engine.fleet.hosts
+        lost = known["h01"].listed.mode.name
+        await anyio.sleep(12.0)
+        return lost, known["h01"].listed.mode.name, judged(ground, day)
+
+    lost, found, breaches = play.in_memory(day, work, runtime=Deaf)
+    assert (lost, found) == ("SERVING", "DRAINING") and not breaches
