Remove must_ask from the cluster file: false left a controller without hosts for ever

Evidence: off nowhere, in no test; set to false the controller never watched discovery, which tells only watchers, and knew 0 hosts after 20 s on a cluster of 3. A file that has the key is told so with the nearest one. power = true, which no test ran, is a case of the changed configurations now.

--- a/examples/cluster.hcl
+++ b/examples/cluster.hcl
@@ -7,7 +7,6 @@
   accepts_memory = 1.5          # ... or of its memory
   confirms       = "accepted"   # hosts say yes at acceptance; or "running": at the start
   host_price     = 0            # over 0: hosts in use cost something, fewer are filled fuller
-  must_ask       = true         # the host list is told only to who watches it
   ask_within     = 10           # seconds after which a controller that does not watch counts as told
   may_probe      = true
   max_launches   = 6
--- a/linedeal/settings/cluster.py
+++ b/linedeal/settings/cluster.py
@@ -81,7 +81,7 @@
 BLOCKS = {
     "cluster": {
         "controllers": (int, NEEDED), "accepts_cores": (float, 2.0), "accepts_memory": (float, 1.5),
-        "confirms": (("accepted", "running"), "accepted"), "host_price": (float, 0.0), "must_ask": (bool, True),
+        "confirms": (("accepted", "running"), "accepted"), "host_price": (float, 0.0),
         "ask_within": (float, 10.0), "may_probe": (bool, True), "max_launches": (int, 6),
     },
     "young": {"time": (float, 10.0), "offers": (float, 20.0), "span": (float, 3.0)},
@@ -228,7 +228,7 @@
         quotas={name: item["cores"] for name, item in blocks["customer"].items() if item["cores"] is not None},
         accepts_cores=cluster["accepts_cores"], accepts_memory=cluster["accepts_memory"],
         starts_confirmed=cluster["confirms"] == "running", host_price=cluster["host_price"],
-        must_ask=cluster["must_ask"], ask_within=cluster["ask_within"], may_probe=cluster["may_probe"],
+        must_ask=True, ask_within=cluster["ask_within"], may_probe=cluster["may_probe"],
         max_launches=cluster["max_launches"], cold_time=young["time"], young_limit=young["offers"],
         young_span=young["span"])
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -501,6 +501,7 @@
     "customers with quotas and keys": lambda text: text + f'customer "x" {{\n  cores = 1\n  key = "{hash_of("x")}"\n}}\n',
     "far less may be held": lambda text: text.replace("held = 20000", "held = 1"),
     "a journal with hardly any room": lambda text: text + "journal {\n  most = 1048577\n}\n",
+    "each commit is flushed": lambda text: text + "journal {\n  power = true\n}\n",
     "holds end soon": lambda text: text.replace("held = 20000", "held = 20000\n  hold = 1"),
 }
 
--- a/tests/test_store_and_settings.py
+++ b/tests/test_store_and_settings.py
@@ -328,6 +328,12 @@
         parse_cluster(SMALL.replace('effect = "irreversible"', f'effect = "irreversible"\n  {line}'))
 
 
+def test_a_key_that_left_every_controller_without_hosts_is_unknown():
+    # must_ask = false never watched discovery, which tells only watchers
+    with pytest.raises(ConfigFault, match="cluster: unknown key must_ask"):
+        parse_cluster(SMALL.replace("controllers = 2", "controllers = 2\n  must_ask = false"))
+
+
 def test_a_file_cut_at_any_byte_is_sound_or_named_in_plain_lines():
     sound = []
     for cut in range(len(SMALL)):
