--- a/linedeal/standin/model.py
+++ b/linedeal/standin/model.py
@@ -25,7 +25,6 @@
     swing: float = 0.25
     cold_share: float = 0.3     # of its pace, just after boot
     fall_over: float = 1.25     # times the offers that a young host always bears: falls over past that
-    pushes_out: bool = False
     drain: str = "keep"         # what a draining host does with its jobs: keep, paced, at_once
 
 
@@ -174,18 +173,11 @@
         if any(c.job.id == job.id and c is not copy for c in self.copies.values()):
             return pb.NOT_HERE      # a copy stands
         cores, memory = self.asked()
-        reason = None
         if cores + job.cores > settings.accepts_cores * self.size.cores:
-            reason = pb.NO_CORES
-        elif memory + job.memory > settings.accepts_memory * self.size.memory:
-            reason = pb.NO_MEMORY
-        if reason is not None and self.habits.pushes_out:
-            lower = [c for c in self.copies.values() if c.value < copy.value and c.phase != pb.QUEUED
-                     and c.job.cores >= job.cores and c.job.memory >= job.memory]
-            if lower:
-                self.lose(now, min(lower, key=lambda c: c.value), pb.PUSHED_OUT)
-                return None
-        return reason
+            return pb.NO_CORES
+        if memory + job.memory > settings.accepts_memory * self.size.memory:
+            return pb.NO_MEMORY
+        return None
 
     def start_more(self, now) -> None:
         while self.starts and self.starting < self.habits.starts:
