--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -168,6 +168,15 @@
     d.kept(9)
 
 
+def test_a_host_that_no_list_has_told_of_counts_as_the_others_do():
+    d = Watched("")
+    listed = on.ListedHost("a", ("x",), "std", "z", 0, Mode.SERVING, 1, 100.0, -9.5, -9.5)
+    d.turn(1.0, on.ListHeard((listed, replace(listed, id="b"), replace(listed, id="c", free_cores=None)), True, 1))
+    assert not d.only(do.SendLaunch, d.ask(1.5))
+    d.turn(2.0, on.ListHeard((replace(listed, free_cores=5.0, free_memory=15.0),), False, 2))
+    d.kept(9)
+
+
 def test_a_tiny_ask_says_nothing_of_the_offerings_other_jobs():
     d = Watched()
     for i in range(30):
