--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -119,7 +119,7 @@
     async def watch_room(self) -> None:
         while True:
             self.mind_room(await self.on_disk(self.journal.look))
-            self.engine.room = self.journal.used(), int(self.journal.most * FULL_AT)
+            self.engine.room = self.journal.in_use, int(self.journal.most * FULL_AT)
             await anyio.sleep(ROOM_EVERY)
 
     def mind_room(self, full: bool) -> None:
--- a/linedeal/state/journal.py
+++ b/linedeal/state/journal.py
@@ -56,7 +56,7 @@
             self.db.execute(f"PRAGMA max_page_count={max(most // self.page, 64)}")
         except sqlite3.Error as error:
             raise StoreFault(f"{store.path}: {error}") from None
-        self.full = False
+        self.full, self.in_use = False, 0
         self.starved = not self.set_spare()
 
     # -- room
@@ -86,7 +86,7 @@
 
     def look(self) -> bool:
         """Whether it counts as full: then nothing more is taken, and what is taken is seen through."""
-        used = self.used()
+        self.in_use = used = self.used()
         if self.starved and not self.spare_path.exists():
             self.starved = not self.set_spare()
         self.full = self.starved or used > self.most * (ROOM_AT if self.full else FULL_AT)
