Bound our launches and marks on one host: tiny jobs made each other job dearer

Seen: jobs that ask 1e-9 cores are placed without end, and each change on their host sums over all of them: 0.16 ms a job with 10 there, 0.66 with 500, about 5 with 5,000, whoever's job it is. Marks of errors, by customer now, grew by one for each new customer's name. At fault: Controller.allowed and launch_ended, without a bound: 2,000 each now, further jobs go elsewhere or wait.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -52,6 +52,7 @@
 PATIENCE = 0.25             # share of an offering's expiry that a launch may take to be accepted
 USE_MOST = 4.0              # times its ask: what a job uses beyond that tells nothing of others
 SERVICES = 4096             # services remembered; past that those without a job go, unseen for longest first
+CROWD = 2000                # our launches on one host, over which sums are made at each change
 TRIES = 100                 # jobs that are refused in one settling, which others' events wait for
 
 NEVER_RAN = (Result.TURNED_AWAY, Result.UNREACHABLE, Result.UNSENT)
@@ -434,6 +435,8 @@
             return False
         if entry.mode is not Mode.SERVING or (offering.kind and entry.kind != offering.kind):
             return False
+        if len(host.jobs) >= CROWD:     # guards against jobs that ask next to nothing: each makes all others dearer
+            return False
         if track.risk:
             first, at = track.risk
             if offering.effect is Effect.IRREVERSIBLE:
@@ -539,6 +542,8 @@
             name = track.offering.name, track.job.customer
             count = host.ill.get(name, (0.0, 0))[1]
             until = self.marked(host, f"errs on {name[0]}", SILENT_MARK, ILL_MOST, count)
+            if len(host.ill) >= CROWD:      # guards against a new customer each time
+                host.ill = {known: mark for known, mark in host.ill.items() if mark[0] > self.now}
             host.ill[name] = (until, count + 1)
         track.ended = track.ended or closed
         if track.ended or track.confirmed:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -6,6 +6,7 @@
 import pytest
 
 from linedeal import interface as api
+from linedeal import policy
 from linedeal.controller import translate
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
@@ -90,7 +91,6 @@
 
 
 def test_a_service_in_use_is_not_forgotten_so_its_spread_is_kept(monkeypatch):
-    from linedeal import policy
     monkeypatch.setattr(policy, "SERVICES", 5)
     d = Watched("a")
     d.yes(1.0, d.only(do.SendLaunch, d.ask(1.0, "pair", service="old"))[0])
@@ -114,6 +114,29 @@
     d.kept(10)
 
 
+def test_jobs_that_ask_next_to_nothing_do_not_crowd_one_host_without_end(monkeypatch):
+    monkeypatch.setattr(policy, "CROWD", 50)
+    d = Watched("ab")
+    for i in range(120):
+        for launch in d.only(do.SendLaunch, d.ask(1.0, key=f"t{i}", service="tiny", cores=1e-9, memory=1e-9)):
+            d.yes(1.0, launch)
+    assert sorted(len(host.jobs) for host in d.engine.module.hosts.values()) == [50, 50]
+    done = next(iter(d.engine.launches.values()))       # one ends: another may go there
+    assert d.only(do.SendLaunch, d.turn(1.1, on.Over(done.host, done.id, api.Result.DONE, api.Why.UNTOLD)))
+    d.kept(10)
+
+
+def test_marks_of_ever_new_customers_are_bounded(monkeypatch):
+    monkeypatch.setattr(policy, "CROWD", 20)
+    d = Watched("ab")
+    for i in range(200):
+        for sent in d.only(do.SendLaunch, d.ask(1.0 + i, key=f"b{i}", customer=f"c{i}")):
+            d.yes(1.0 + i, sent)
+            d.turn(1.0 + i, on.Over(sent.host, on.LaunchId(3, sent.number), api.Result.ERROR, api.Why.UNTOLD))
+    assert max(len(host.ill) for host in d.engine.module.hosts.values()) <= 21
+    d.kept(300)
+
+
 def test_an_order_repeated_without_end_leaves_no_timers_behind():
     d = Watched()
     d.ask(1.0, session="s", hold=True)
