--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -145,7 +145,6 @@
 @pytest.mark.parametrize("killed_at, most", [(None, 100), (300.0, 100), (5000.0, 100), (300.0, 3)])
 def test_answers_go_when_kept_long_enough(tmp_path, monkeypatch, killed_at, most):
     # by the timers of this life or of the next: nothing else looks through the journal
-    monkeypatch.setattr(sessions, "KEPT_MOST", most)
     store = Store(tmp_path)
     journal = Journal(store)
     d = Drive(life=1)
@@ -160,6 +159,7 @@
         step(d.turn(1.1, on.Accepted(launch.host, on.LaunchId(1, launch.number))), 1.1)
     rows = "SELECT (SELECT count(*) FROM jobs) + (SELECT count(*) FROM launches)"
     begun = 0.0
+    monkeypatch.setattr(sessions, "KEPT_MOST", most)
     if killed_at:
         found = journal.read(killed_at, 6.0)
         d, begun = Drive(life=2), killed_at
