Cancel the timers of holds and start times; bound how far ahead a start time may lie

Ruled out: the other timers (they ring within an expiry, a minute or answers_kept). At fault: Sessions.set_aside and Timers, which could not forget. The second record of when a hold began is gone with it.

--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -28,6 +28,7 @@
 STRAY_KEPT = 60.0       # seconds for which a launch that was given up is remembered, for a late yes
 STALL_SEEN = 0.25       # a timer this late tells that this process stood still, not that hosts were silent
 RETURN_MOST = 20        # jobs of an earlier life that go back to the module in one turn
+START_MOST = 366 * 86400.0      # seconds: what would begin later than that holds its place for nothing
 NAME_MOST = 200         # characters of an offering's, a customer's or a service's name
 BREATH = 0.05           # what came in meanwhile is read for so long before launches are given up
 
@@ -46,7 +47,6 @@
     session: str = ""
     work: bytes = b""
     left: float = 0.0           # seconds to wait for a host, while it is held or its start time has not come
-    held_since: float = 0.0
     returning: bool = False     # on its way back to the module after a restart
     risk: tuple[str, float] | None = None       # host and time of its first launch that may have run
     promise: str = ""           # what its offering was when an earlier life took it
@@ -176,7 +176,7 @@
         wait = min(event.wait or offering.expiry, offering.expiry)
         job = api.Job(f"{self.name}.{self.life}.{self.jobs}", event.offering, event.customer, event.service,
                       event.cores, event.memory, self.now + wait)
-        self.own(Taken(event.client, event.key, job, event.session, event.work, wait, self.now))
+        self.own(Taken(event.client, event.key, job, event.session, event.work, wait))
         self.counts["taken"] += 1
         self.out.append(do.Take(event.client, event.key, job.id, event.session, job if event.session else None, wait,
                                 event.work, event.follow, event.hold, event.start_in, promise))
@@ -217,8 +217,8 @@
             return "cores and memory have to be over 0"
         if not 0 <= event.wait < float("inf"):
             return "wait is no number of seconds"
-        if not 0 <= event.start_in < float("inf"):
-            return "start time is no number of seconds"
+        if not 0 <= event.start_in <= START_MOST:
+            return f"start time is no number of seconds up to {START_MOST:g}"
         if (event.hold or event.start_in or event.follow) and not event.session:
             return "only a session's job can be held, begin later or be followed"
         if len(event.work) > self.cluster.limits.work:
@@ -594,7 +594,7 @@
             self.sessions.recover_answered(kept)
         for job in left_open:
             record = replace(job.job, expiry=self.now + job.expires_in)
-            self.own(Taken(0, job.key, record, job.session, job.work, job.expires_in, self.now,
+            self.own(Taken(0, job.key, record, job.session, job.work, job.expires_in,
                            promise=job.promise))
             entry = self.sessions.recover_open(job, record)
             if entry.stage is not Stage.WAITING:
--- a/linedeal/engine/ledger.py
+++ b/linedeal/engine/ledger.py
@@ -49,6 +49,7 @@
     reason: str = ""
     ran: Ran | None = None
     ending: bool = False                # its owner wants it ended
+    timer: int = 0                      # of its hold's end or its start time
 
     @property
     def verdict(self) -> str:
--- a/linedeal/engine/sessions.py
+++ b/linedeal/engine/sessions.py
@@ -24,7 +24,6 @@
         self.unaccounted: dict[str, list[Entry]] = {}           # placed by an earlier life, by host
         self.over: dict[str, dict[tuple[str, str], None]] = {}  # kept after their end, by customer, oldest first
         self.kept = 0                                           # how many these are
-        self.minded: set[str] = set()                           # jobs with a timer for the end of their hold
 
     # -- taking
 
@@ -67,11 +66,17 @@
         engine = self.engine
         engine.taken[entry.job.id].left = left
         entry.job.expiry = float("inf")
+        self.unmind(entry)
         if entry.stage is Stage.LATER:
-            engine.timers.arm(engine.now + start_in, "later", entry.job.id)
-        elif entry.job.id not in self.minded:       # one a job, however often it is held and released
-            self.minded.add(entry.job.id)
-            engine.timers.arm(engine.now + engine.cluster.limits.hold, "held too long", entry.job.id)
+            entry.timer = engine.timers.arm(engine.now + start_in, "later", entry.job.id)
+        else:
+            entry.timer = engine.timers.arm(engine.now + engine.cluster.limits.hold, "held too long", entry.job.id)
+
+    def unmind(self, entry: Entry) -> None:
+        """Its hold or its wait for a start time has ended: one timer a job, however often it is held and released."""
+        if entry.timer:
+            self.engine.timers.cancel(entry.timer)
+            entry.timer = 0
 
     def go_on(self, entry: Entry) -> None:
         """Back to the module, with the time that was left."""
@@ -80,6 +85,7 @@
             entry.reason = f"offering {entry.job.offering} is gone or has changed"
             engine.answer(entry.job.id, do.Verdict.REJECTED)
             return
+        self.unmind(entry)
         entry.stage, entry.job.expiry = Stage.WAITING, engine.now + taken.left
         engine.out.append(do.KeepHold(entry.job.id, False, taken.left, 0.0))
         self.tell(entry)
@@ -88,18 +94,14 @@
     def later_due(self, job_id: str) -> None:
         entry = self.ledger.by_job.get(job_id)
         if entry is not None and entry.stage is Stage.LATER:
+            entry.timer = 0
             self.go_on(entry)
 
     def held_too_long(self, job_id: str) -> None:
         # guards against jobs that are held for ever: they count against what this controller may hold
         engine, entry = self.engine, self.ledger.by_job.get(job_id)
-        self.minded.discard(job_id)
         if entry is not None and entry.stage is Stage.HELD:
-            ends = engine.taken[job_id].held_since + engine.cluster.limits.hold
-            if engine.now < ends:       # released and held again meanwhile
-                self.minded.add(job_id)
-                engine.timers.arm(ends, "held too long", job_id)
-                return
+            entry.timer = 0
             entry.reason = f"held for {engine.cluster.limits.hold:g} s"
             engine.answer(job_id, do.Verdict.REJECTED)
 
@@ -136,7 +138,7 @@
             if engine.pending.pop(entry.job.id, None) is None and not taken.returning:
                 engine.tell(api.Withdrawn(entry.job.id))
             taken.returning = False
-        entry.stage, taken.held_since = Stage.HELD, engine.now
+        entry.stage = Stage.HELD
         self.set_aside(entry, taken.left)
         engine.out.append(do.KeepHold(entry.job.id, True, taken.left, 0.0))
         self.tell(entry)
@@ -165,6 +167,7 @@
     # -- its course
 
     def answered(self, entry: Entry, verdict: str, host: str, launch: on.LaunchId | None, reason: str) -> None:
+        self.unmind(entry)
         self.ledger.answered(entry, self.engine.now, verdict, host, launch, reason)
         if not entry.follow or entry.over:
             self.keep_for_a_while(entry)
@@ -256,6 +259,7 @@
         self.bytes[customer] = self.bytes.get(customer, 0) + RECORD + len(entry.work)
 
     def forget(self, entry: Entry) -> None:
+        self.unmind(entry)
         self.ledger.drop(entry)
         customer = entry.job.customer
         self.bytes[customer] -= RECORD + len(entry.work)
