Count a link before its welcome leaves: links that said hello at one moment passed the bound

Seen: with a bound of 10, 8 links that stood and 10 that said hello at one moment were all let in. Ruled out: the first look at the bound, which stays (a full controller says so before the hello). At fault: Front.greet, which looked before the hello and counted after the welcome.

--- a/linedeal/controller/front.py
+++ b/linedeal/controller/front.py
@@ -67,8 +67,6 @@
         why = ""
         try:
             await self.greet(client)
-            self.clients[client.number] = client
-            self.links[client.proven] = self.links.get(client.proven, 0) + 1
             await self.serve(client)
         except LinkLost as error:
             why = str(error)
@@ -103,13 +101,14 @@
                 except owners.NotAdmitted as error:
                     await client.link.send(encode(pb.Bye(reason=str(error))))
                     raise LinkLost(str(error)) from None
-                # guards the other customers against one that opens all the links there are
-                mine = self.links.get(client.proven, 0)
-                if client.proven and not may_take(len(self.clients), self.limits.clients, mine, len(self.links)):
-                    await client.link.send(encode(pb.Bye(reason="too many clients", retry_after=self.limits.retry_after)))
-                    raise LinkLost("too many clients of this customer")
                 client.name = hello.name[:80]
                 client.session = owners.qualified(client.proven, hello.session[:SESSION_MOST])
+                if not self.room_for(client):
+                    await client.link.send(encode(pb.Bye(reason="too many clients", retry_after=self.limits.retry_after)))
+                    raise LinkLost("too many clients" + " of this customer" * bool(client.proven))
+                # counted before the welcome leaves: others may say hello meanwhile
+                self.clients[client.number] = client
+                self.links[client.proven] = self.links.get(client.proven, 0) + 1
                 await client.link.send(encode(pb.Welcome(
                     version=min(hello.version, VERSION), name=self.controller, offerings=self.offerings)))
         except TimeoutError:
@@ -117,6 +116,13 @@
         finally:
             self.strangers -= 1
 
+    def room_for(self, client: Client) -> bool:
+        """Guards the other customers against one that opens all the links there are. Without a key a name proves
+        nothing: then all are one customer's."""
+        if not client.proven:
+            return len(self.clients) < self.limits.clients
+        return may_take(len(self.clients), self.limits.clients, self.links.get(client.proven, 0), len(self.links))
+
     async def serve(self, client: Client) -> None:
         await until_lost(self.write(client), self.read(client), self.let_go(client))
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -576,3 +576,23 @@
 
     lost, found, breaches = play.in_memory(day, work, runtime=Deaf)
     assert (lost, found) == ("SERVING", "DRAINING") and not breaches
+
+
+def test_links_that_come_at_one_moment_are_bounded_as_well(tmp_path):
+    day = day_of(tmp_path, CLUSTER.replace("hello = 1", "hello = 5\n  clients = 10"))
+
+    async def work(ground):
+        await anyio.sleep(1.0)
+        known = [await hello_of(ground) for _ in range(8)]
+        streams = [await ground.net.connect(("c1", 1)) for _ in range(10)]
+        await anyio.sleep(0.2)      # there was room for each, and none has said who it is
+        for stream in streams:
+            try:
+                await stream.send(encode(pb.Hello(version=VERSION, role=pb.CLIENT, name="x")))
+            except LOST:
+                pass
+        await anyio.sleep(0.5)
+        return len(known), len(ground.servers["c1"].front.clients), judged(ground, day)
+
+    known, clients, breaches = play.in_memory(day, work)
+    assert (known, clients) == (8, 10) and not breaches
