Answer asks of one key in order in the audit: a second ask ended it in a traceback

Seen: a client sent a second Submit of one key with an unknown offering before the first was answered; the audit took "taken" for the second and raised KeyError on its offering. Ruled out: the controller, which turned the second away. At fault: Reader.submit, one ask a key.

--- a/linedeal/audit/traffic.py
+++ b/linedeal/audit/traffic.py
@@ -1,6 +1,7 @@
 """From recorded bytes to what each side said and was told, and when."""
 
 import base64
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Iterable
 
@@ -81,7 +82,7 @@
     hello: object = None
     opened: float = 0.0
     boot: int = 0
-    asks: dict[str, object] = field(default_factory=dict)
+    asks: dict[str, deque] = field(default_factory=dict)    # not answered yet, by key
     launches: list[LaunchSeen] = field(default_factory=list)
     broken: bool = False
 
@@ -172,10 +173,11 @@
     # -- client and controller
 
     def submit(self, entry, link, message) -> None:
-        link.asks[message.key] = message
+        # each is answered once, in order: by "taken" or by "turned away", however many have one key
+        link.asks.setdefault(message.key, deque()).append(message)
 
     def taken(self, entry, link, message) -> None:
-        ask, known = link.asks[message.key], self.traffic.jobs.get(message.job)
+        ask, known = link.asks[message.key].popleft(), self.traffic.jobs.get(message.job)
         if known is not None:
             if not known.session or (known.session, known.key) != (link.hello.session, message.key):
                 self.traffic.doubled.append((entry.t, 1, f"{message.job} was taken twice"))
@@ -212,6 +214,8 @@
 
     def turned_away(self, entry, link, message) -> None:
         self.traffic.turned_away += 1
+        if link.asks.get(message.key):
+            link.asks[message.key].popleft()
 
     def answer(self, entry, link, message) -> None:
         job = self.traffic.jobs.get(message.job)
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -420,3 +420,16 @@
         said(5.1, pb.Accepted)
         s.answer(5.1, job)
         assert s.broken() == found
+
+
+def test_asks_of_one_key_are_answered_in_order():
+    # guards against a client that asks again before it is answered: "taken" is of the oldest ask, not of the last
+    script = Script()
+    spec = pb.JobSpec(offering="web", service="s", cores=1.0, memory=1.0)
+    script.forth(1.0, script.front, pb.Submit(key="k", job=spec))
+    script.forth(1.0, script.front, pb.Submit(key="k", job=pb.JobSpec(offering="none")))
+    script.back(1.1, script.front, pb.Taken(key="k", job="c.1.k"))
+    script.back(1.1, script.front, pb.TurnedAway(key="k", reason="this key waits already"))
+    spec.id = "c.1.k"
+    script.answer(1.5, spec)
+    assert script.broken() == set()
