--- a/linedeal/controller/front.py
+++ b/linedeal/controller/front.py
@@ -10,7 +10,7 @@
 from linedeal.controller import owners, translate
 from linedeal.controller.inbox import Inbox
 from linedeal.engine import events as on
-from linedeal.engine.admission import may_take
+from linedeal.engine.admission import Shares
 from linedeal.net import Address, Link, LinkLost, Net, until_lost
 from linedeal.protocol import VERSION, encode, pb
 from linedeal.settings.cluster import Cluster
@@ -42,7 +42,7 @@
         self.clients: dict[int, Client] = {}
         self.numbers = 0
         self.strangers = 0          # links that have not said who they are
-        self.links: dict[str, int] = {}     # of each customer that has shown its key
+        self.links = Shares()       # of each customer that has shown its key
         self.closing = False
 
     async def run(self, address: Address, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
@@ -74,9 +74,7 @@
             known = self.clients.pop(client.number, None)
             await link.close()
             if known is not None:
-                self.links[client.proven] -= 1
-                if not self.links[client.proven]:
-                    del self.links[client.proven]
+                self.links.add(client.proven, -1)
                 with anyio.CancelScope(shield=True):
                     await self.inbox.post(on.ClientLeft(client.number))
         if why != "closed by the other side":
@@ -108,7 +106,7 @@
                     raise LinkLost("too many clients" + " of this customer" * bool(client.proven))
                 # counted before the welcome leaves: others may say hello meanwhile
                 self.clients[client.number] = client
-                self.links[client.proven] = self.links.get(client.proven, 0) + 1
+                self.links.add(client.proven, 1)
                 await client.link.send(encode(pb.Welcome(
                     version=min(hello.version, VERSION), name=self.controller, offerings=self.offerings)))
         except TimeoutError:
@@ -121,7 +119,7 @@
         nothing: then all are one customer's."""
         if not client.proven:
             return len(self.clients) < self.limits.clients
-        return may_take(len(self.clients), self.limits.clients, self.links.get(client.proven, 0), len(self.links))
+        return self.links.may_take(client.proven, len(self.clients), self.limits.clients)
 
     async def serve(self, client: Client) -> None:
         await until_lost(self.write(client), self.read(client), self.let_go(client))
--- a/linedeal/engine/admission.py
+++ b/linedeal/engine/admission.py
@@ -3,15 +3,32 @@
 RESERVE = 8         # one part in so many of what may be held is for customers that hold less than an even share
 
 
-def may_take(held: int, most: int, of_customer: int, customers: int) -> bool:
-    """`held` of at most `most`, `of_customer` of it this one's, `customers`: who has any. For jobs that wait, links, and
-    bytes of the journal.
-
-    Guards the others against one that fills all there is: an even share counts a place for one more to come.
-
-    >>> may_take(34, 40, 34, 1), may_take(35, 40, 35, 1), may_take(35, 40, 0, 1), may_take(40, 40, 0, 1)
-    (True, False, True, False)
-    """
-    if held >= most:
-        return False
-    return held < most - most // RESERVE or of_customer < most / (customers + 1)
+class Shares:
+    """How much each customer has of one thing that is bounded for all: jobs that wait, links, bytes of the journal."""
+
+    def __init__(self):
+        self.of: dict[str, int] = {}        # only of customers that have some
+
+    def add(self, customer: str, amount: int) -> None:
+        """`amount` below 0 gives back."""
+        now = self.of.get(customer, 0) + amount
+        if now:
+            self.of[customer] = now
+        else:
+            del self.of[customer]
+
+    def may_take(self, customer: str, held: int, most: int) -> bool:
+        """Whether this customer may have more, where `held` of at most `most` are in use by all.
+
+        Guards the others against one that fills all there is: an even share counts a place for one more to come.
+
+        >>> shares = Shares()
+        >>> shares.add("crowd", 35)
+        >>> shares.may_take("crowd", 34, 40), shares.may_take("crowd", 35, 40)
+        (True, False)
+        >>> shares.may_take("school", 35, 40), shares.may_take("school", 40, 40)
+        (True, False)
+        """
+        if held >= most:
+            return False
+        return held < most - most // RESERVE or self.of.get(customer, 0) < most / (len(self.of) + 1)
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -14,7 +14,7 @@
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
 from linedeal.engine import launches, recovery
-from linedeal.engine.admission import may_take
+from linedeal.engine.admission import Shares
 from linedeal.engine.asking import Asking, again_after
 from linedeal.engine.fleet import Fleet, HostRecord
 from linedeal.engine.launches import Launch, State
@@ -69,7 +69,7 @@
         self.now = now
         self.ready = False          # a list has been heard, so that jobs can be taken
         self.taken: dict[str, Taken] = {}
-        self.holds: dict[str, int] = {}                      # how many of them each customer has
+        self.holds = Shares()                                # how many of them each customer has
         self.keys: dict[tuple[int | str, str], str] = {}     # by owner and key
         self.sessions = Sessions(self)
         self.full = False           # the journal has room for what is taken only
@@ -189,7 +189,7 @@
 
     def own(self, taken: Taken) -> None:
         if taken.job.id not in self.taken:
-            self.holds[taken.job.customer] = self.holds.get(taken.job.customer, 0) + 1
+            self.holds.add(taken.job.customer, 1)
         self.taken[taken.job.id] = taken
         self.keys[taken.owner, taken.key] = taken.job.id
         if taken.client:
@@ -200,9 +200,7 @@
         if taken is not None:
             del self.keys[taken.owner, taken.key]
             self.clients.get(taken.client, set()).discard(job_id)
-            self.holds[taken.job.customer] -= 1
-            if not self.holds[taken.job.customer]:
-                del self.holds[taken.job.customer]
+            self.holds.add(taken.job.customer, -1)
         return taken
 
     def turned_away(self, event: on.Submitted, offering) -> str:
@@ -229,11 +227,9 @@
             return "this key waits already"
         if not self.ready:
             return "no list of hosts yet"
-        if event.session and (self.full or not may_take(
-                *self.room, self.sessions.bytes.get(event.customer, 0), len(self.sessions.bytes))):
+        if event.session and (self.full or not self.sessions.bytes.may_take(event.customer, *self.room)):
             return "the journal is full"
-        if not may_take(len(self.taken), self.cluster.limits.held, self.holds.get(event.customer, 0),
-                        len(self.holds)):
+        if not self.holds.may_take(event.customer, len(self.taken), self.cluster.limits.held):
             return "too many jobs are held"
         return ""
 
--- a/linedeal/engine/sessions.py
+++ b/linedeal/engine/sessions.py
@@ -7,6 +7,7 @@
 from linedeal.engine import control, recovery
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
+from linedeal.engine.admission import Shares
 from linedeal.engine.control import Fault, Move
 from linedeal.engine.ledger import AT_HOST, Entry, Ledger, Stage
 
@@ -19,7 +20,7 @@
     def __init__(self, engine):
         self.engine = engine
         self.ledger = Ledger()
-        self.bytes: dict[str, int] = {}         # of each customer's jobs in the journal, roughly
+        self.bytes = Shares()                   # of each customer's jobs in the journal, roughly
         self.followers: dict[str, dict[int, None]] = {}         # links that are told of each change, by session
         self.unaccounted: dict[str, list[Entry]] = {}           # placed by an earlier life, by host
         self.over: dict[str, dict[tuple[str, str], None]] = {}  # kept after their end, by customer, oldest first
@@ -255,16 +256,12 @@
 
     def add(self, entry: Entry) -> None:
         self.ledger.add(entry)
-        customer = entry.job.customer
-        self.bytes[customer] = self.bytes.get(customer, 0) + RECORD + len(entry.work)
+        self.bytes.add(entry.job.customer, RECORD + len(entry.work))
 
     def forget(self, entry: Entry) -> None:
         self.unmind(entry)
         self.ledger.drop(entry)
-        customer = entry.job.customer
-        self.bytes[customer] -= RECORD + len(entry.work)
-        if not self.bytes[customer]:
-            del self.bytes[customer]
+        self.bytes.add(entry.job.customer, -RECORD - len(entry.work))
         mine = self.over.get(entry.job.customer, {})
         if (entry.session, entry.key) in mine:
             del mine[entry.session, entry.key]
--- a/linedeal/state/journal.py
+++ b/linedeal/state/journal.py
@@ -189,7 +189,8 @@
              reason, ran, answered, ended, ending) = row
             if zlib.crc32(work, zlib.crc32(blob)) != total:
                 raise StoreFault(f"{self.store.path}: job {job_id} does not match its checksum")
-            job, promise = msgspec.msgpack.decode(blob, type=Job), msgspec.msgpack.decode(blob).get("promise", "")
+            record = msgspec.msgpack.decode(blob, type=dict)
+            promise, job = record.pop("promise", ""), msgspec.convert(record, Job)
 
             def ago(then):
                 return None if then is None else max(0.0, at - then)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -454,7 +454,7 @@
         for link, _ in crowd:
             await link.close()
         await anyio.sleep(0.5)
-        return [name for _, name in crowd], type(said).__name__, dict(ground.servers["c1"].front.links)
+        return [name for _, name in crowd], type(said).__name__, dict(ground.servers["c1"].front.links.of)
 
     crowd, school, left = play.in_memory(day, work)
     assert (crowd.count("Welcome"), school, left) == (14, "Welcome", {"school": 1})
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -330,4 +330,4 @@
     for i in range(20):     # as its jobs go it may have more
         d.turn(1.2, on.TakenBack(1, f"k{i}", "c"))
     assert d.only(do.Take, d.ask(1.3, key="more", customer="crowd", session="c"))
-    assert d.engine.sessions.bytes == {"school": sessions.RECORD, "crowd": sessions.RECORD}
+    assert d.engine.sessions.bytes.of == {"school": sessions.RECORD, "crowd": sessions.RECORD}
