--- a/benchmarks/controller_pace.py
+++ b/benchmarks/controller_pace.py
@@ -22,7 +22,7 @@
 from linedeal import interface as api
 from linedeal.net import Link, LinkLost, TcpNet, parse_address
 from linedeal.policy import Controller
-from linedeal.protocol import encode, pb
+from linedeal.protocol import FrameReader, encode, pb
 from linedeal.settings.cluster import parse_cluster
 from linedeal.standin.discovery import Discovery
 
@@ -56,7 +56,7 @@
         ends, writing = [], anyio.Lock()
 
         async def handle(stream):
-            link = Link(stream)
+            link = Link(stream, FrameReader())
             try:
                 await link.receive()
                 await link.send(encode(pb.Welcome(version=1, name=name, boot=1, age=999)))
@@ -103,7 +103,7 @@
 
     async def one(number, *, task_status):
         rng, writing = random.Random(number), anyio.Lock()
-        link = Link(await TcpNet().connect(address))
+        link = Link(await TcpNet().connect(address), FrameReader())
         await link.send(encode(pb.Hello(version=1, role=pb.CLIENT, name=f"load{number}",
                                         session=f"load{number}" if journal != "off" else "")))
         await link.receive()
--- a/linedeal/audit/rules.py
+++ b/linedeal/audit/rules.py
@@ -6,7 +6,7 @@
 from linedeal.audit.traffic import NEVER, JobSeen, LaunchSeen, Traffic
 from linedeal.interface import Effect, Place
 from linedeal.protocol import pb
-from linedeal.settings.cluster import Cluster
+from linedeal.settings.records import Cluster
 
 SESSION_AGAIN = 2.5     # seconds after a session's new link for what was settled meanwhile: a new life's patience is in it
 JITTER = 0.15       # seconds by which links may differ in when the recorder sees one moment of a controller
--- a/linedeal/client/client.py
+++ b/linedeal/client/client.py
@@ -11,7 +11,7 @@
 import anyio
 
 from linedeal.net import Address, Link, LinkLost, Net, open_link
-from linedeal.protocol import VERSION, encode, pb
+from linedeal.protocol import VERSION, FrameReader, encode, pb
 
 VERDICTS = {pb.PLACED: "placed", pb.REJECTED: "rejected", pb.WRITTEN_OFF: "written off"}
 
@@ -78,7 +78,7 @@
         Jobs that outlive link and controller are asked for by a `client.Owner`.
         """
         try:
-            link, welcome = await open_link(net, address, encode(pb.Hello(version=VERSION, role=pb.CLIENT, name=name)),
+            link, welcome = await open_link(net, address, FrameReader(), encode(pb.Hello(version=VERSION, role=pb.CLIENT, name=name)),
                                             within)
         except LinkLost as error:
             raise ClientLost(str(error), False) from None
--- a/linedeal/client/owner.py
+++ b/linedeal/client/owner.py
@@ -23,7 +23,7 @@
 from linedeal.client.contact import Contact
 from linedeal.client.course import Next, State
 from linedeal.net import Address, Link, LinkLost, Net, open_link
-from linedeal.protocol import VERSION, encode, pb
+from linedeal.protocol import VERSION, FrameReader, encode, pb
 
 AGAIN = 0.2             # seconds between two tries to reach a controller
 CONNECT = 5.0           # seconds for a link to stand
@@ -380,7 +380,7 @@
             await anyio.sleep(AGAIN if not home.refuses else 10 * AGAIN)
 
     async def connect(self, home: Home) -> Link:
-        link, welcome = await open_link(self.net, home.address, encode(pb.Hello(
+        link, welcome = await open_link(self.net, home.address, FrameReader(), encode(pb.Hello(
             version=VERSION, role=pb.CLIENT, name=self.contact.session, session=self.contact.session,
             customer=self.contact.customer, token=self.token)), CONNECT)
         if not isinstance(welcome, pb.Welcome):
--- a/linedeal/controller/front.py
+++ b/linedeal/controller/front.py
@@ -8,12 +8,12 @@
 import anyio
 
 from linedeal.controller import owners, translate
-from linedeal.controller.inbox import Inbox
+from linedeal.loop.inbox import Inbox
 from linedeal.engine import events as on
 from linedeal.engine.admission import Shares
 from linedeal.net import Address, Link, LinkLost, Net, until_lost
-from linedeal.protocol import VERSION, encode, pb
-from linedeal.settings.cluster import Cluster
+from linedeal.protocol import VERSION, FrameReader, encode, pb
+from linedeal.settings.records import Cluster
 
 SESSION_MOST = 200  # characters of a session's name
 KEY_MOST = 200      # characters of a client's key for a job
@@ -61,7 +61,7 @@
         client.wake.set()
 
     async def handle(self, stream) -> None:
-        link = Link(stream)
+        link = Link(stream, FrameReader())
         self.numbers += 1
         client = Client(self.numbers, link)
         why = ""
--- a/linedeal/controller/hostlink.py
+++ b/linedeal/controller/hostlink.py
@@ -8,13 +8,13 @@
 import anyio
 
 from linedeal.controller import translate
-from linedeal.controller.inbox import Inbox
+from linedeal.loop.inbox import Inbox
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
 from linedeal.interface import Mode
 from linedeal.net import Address, Link, LinkLost, Net, open_link, parse_address, until_lost
-from linedeal.protocol import VERSION, encode, pb
-from linedeal.settings.cluster import Limits
+from linedeal.protocol import VERSION, FrameReader, encode, pb
+from linedeal.settings.records import Limits
 
 WRITE_MOST = 65536      # bytes taken for one write: what is in it has left, so it is not all that waits
 
@@ -128,7 +128,7 @@
 
     async def greet(self, address: Address) -> tuple[Link, pb.Welcome]:
         self.next_number = self.next_link()
-        link, message = await open_link(self.net, address, encode(pb.Hello(
+        link, message = await open_link(self.net, address, FrameReader(), encode(pb.Hello(
             version=VERSION, role=pb.CONTROLLER, name=self.controller, life=self.life, link=self.next_number)),
             self.limits.connect)
         try:
--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -9,15 +9,15 @@
 
 from linedeal.controller.front import Front
 from linedeal.controller.hostlink import HostLink
-from linedeal.controller.inbox import Inbox
 from linedeal.controller.watch import DiscoveryWatch
 from linedeal.engine import Engine
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
 from linedeal.interface import Mode
+from linedeal.loop import Inbox, Turning
 from linedeal.net import Address, Net
 from linedeal.policy import Controller
-from linedeal.settings.cluster import Cluster
+from linedeal.settings.records import Cluster
 from linedeal.state import Store, StoreFault, steady
 from linedeal.state.journal import FULL_AT, Journal, to_keep
 
@@ -62,6 +62,7 @@
         self.engine = Engine(self.setup.cluster, self.setup.name, self.life, self.setup.seed + self.life, now,
                              self.policy)
         self.inbox = Inbox(self.engine.put)
+        self.turning = Turning(self.engine, self.inbox, self.setup.cluster.limits.tick)
         self.front = Front(self.setup.name, self.net, self.setup.cluster, self.inbox, self.log,
                            lambda client: bool(self.engine.clients.get(client)))
         self.watch = DiscoveryWatch(self.setup.discovery, self.setup.name, self.life, self.net,
@@ -134,9 +135,7 @@
     async def turn_until_left(self) -> None:
         ends = float("inf")
         while True:
-            self.turned_at = anyio.current_time()
-            effects = self.engine.turn(self.turned_at)
-            self.inbox.turned()     # now: what comes in while the turn is written to disk is the next turn's
+            effects = self.turning.turn()
             keep = to_keep(effects)
             if keep:    # on disk before any of it shows: the turn's jobs share the flush, the next turn gathers meanwhile
                 await self.keep(keep)
@@ -150,10 +149,7 @@
             await self.wait(min(self.engine.next_due(), ends))
 
     async def wait(self, until: float) -> None:
-        """Until something arrives or is due; at least a tick, so that under load one turn takes in many events."""
-        with anyio.move_on_at(until):
-            await self.inbox.arrived.wait()
-        await anyio.sleep_until(self.turned_at + self.setup.cluster.limits.tick)
+        await self.turning.wait(until)
 
     def carry(self, effect) -> None:
         kind = type(effect)
--- a/linedeal/controller/watch.py
+++ b/linedeal/controller/watch.py
@@ -3,11 +3,11 @@
 import anyio
 
 from linedeal.controller import translate
-from linedeal.controller.inbox import Inbox
+from linedeal.loop.inbox import Inbox
 from linedeal.engine import events as on
 from linedeal.net import Address, Link, LinkLost, Net, open_link, until_lost
-from linedeal.protocol import VERSION, encode, pb
-from linedeal.settings.cluster import Limits
+from linedeal.protocol import VERSION, FrameReader, encode, pb
+from linedeal.settings.records import Limits
 
 
 class DiscoveryWatch:
@@ -26,7 +26,7 @@
             await self.wanted.wait()
             link, why = None, ""
             try:
-                link, welcome = await open_link(self.net, self.address, encode(pb.Hello(
+                link, welcome = await open_link(self.net, self.address, FrameReader(), encode(pb.Hello(
                     version=VERSION, role=pb.CONTROLLER, name=self.controller, life=self.life)),
                     self.limits.watch)
                 if not isinstance(welcome, pb.Welcome):
--- a/linedeal/engine/effects.py
+++ b/linedeal/engine/effects.py
@@ -6,7 +6,7 @@
 from linedeal.engine.control import Fault, OrderKind
 from linedeal.engine.events import LaunchId, ListedHost, Ran
 from linedeal.engine.ledger import Stage
-from linedeal.interface import Job
+from linedeal.interface import Job, Result
 
 
 class Verdict(Enum):
@@ -124,6 +124,29 @@
     keep: bool = False          # to be on disk before the client is told
     launch: LaunchId | None = None
     reason: str = ""
+    said: str = ""              # what the host gave with its yes
+
+
+@dataclass(frozen=True, slots=True)
+class Adopt:
+    """The job stands at the host already; what is heard of it there is of this launch."""
+
+    client: int
+    key: str
+    job: str
+    host: str
+    number: int
+    work: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedOver:
+    """What stood is over, which its owner is to hear."""
+
+    job: str
+    host: str
+    number: int
+    result: Result
 
 
 @dataclass(frozen=True, slots=True)
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -23,7 +23,7 @@
 from linedeal.engine.timers import Timers
 from linedeal.interface import Effect, Mode, Result
 from linedeal.policy import NEVER_RAN, Controller
-from linedeal.settings.cluster import Cluster
+from linedeal.settings.records import Cluster
 
 STRAY_KEPT = 60.0       # seconds for which a launch that was given up is remembered, for a late yes
 STALL_SEEN = 0.25       # a timer this late tells that this process stood still, not that hosts were silent
@@ -57,8 +57,12 @@
 
 
 class Engine:
-    def __init__(self, cluster: Cluster, name: str, life: int, seed: int, now: float, policy=Controller):
-        self.cluster, self.name, self.life = cluster, name, life
+    def __init__(self, cluster: Cluster, name: str, life: int, seed: int, now: float, policy=Controller,
+                 accounts_given: bool = True):
+        """`accounts_given`: a link to a host begins with the host's word of all that it holds. Where it does not, nothing
+        is asked after a start or a break, nothing that may have run is ever proven not to have, and a launch that is
+        given up is given up at its host too: the end of the wait is the end of the launch."""
+        self.cluster, self.name, self.life, self.accounts_given = cluster, name, life, accounts_given
         self.random = Random(seed)
         self.module = policy(cluster.settings, seed, now)
         self.fleet = Fleet()
@@ -247,6 +251,8 @@
             self.stop(launch)
         if known:
             self.tell(api.Withdrawn(job_id))
+        if launch is not None and not self.accounts_given:
+            self.over(launch, Result.STOPPED, api.Why.UNTOLD)   # given up at the host, which says no more of it
 
     def client_left(self, event: on.ClientLeft) -> None:
         for taken in sorted((self.taken[job] for job in self.clients.pop(event.client, ())), key=lambda taken: taken.key):
@@ -256,7 +262,8 @@
                 self.taken_back(on.TakenBack(event.client, taken.key))
         self.sessions.left(event.client)
 
-    def answer(self, job_id: str, verdict: do.Verdict, host: str = "", launch: on.LaunchId | None = None) -> None:
+    def answer(self, job_id: str, verdict: do.Verdict, host: str = "", launch: on.LaunchId | None = None,
+               said: str = "") -> None:
         """The one way in which a job is answered: it is owed nothing from then on."""
         taken = self.disown(job_id)
         if taken is None:
@@ -266,7 +273,7 @@
         if entry is not None:
             self.sessions.answered(entry, verdict.value, host, launch, "")
         self.out.append(do.Answer(taken.client, taken.key, job_id, verdict, host, entry is not None, launch,
-                                  entry.reason if entry else ""))
+                                  entry.reason if entry else "", said))
         if entry is not None:
             self.sessions.tell(entry)
 
@@ -309,15 +316,18 @@
             self.out.append(do.Unsend(launch.host, launch_id.number))
             self.timers.arm(self.now + BREATH, "launch at last", launch_id)
             return
-        if launch.effect is not Effect.IRREVERSIBLE:
+        if launch.effect is not Effect.IRREVERSIBLE or not self.accounts_given:
             self.stop(launch)
         self.give_up(launch, Result.SILENT)
 
     def give_up(self, launch: Launch, result: Result) -> None:
         """No answer is waited for any more; what the host still says of it is late."""
-        launch.state = State.STRAY
-        del self.by_job[launch.job.id]
-        self.timers.arm(self.now + STRAY_KEPT, "stray", launch.id)
+        if self.accounts_given:
+            launch.state = State.STRAY
+            del self.by_job[launch.job.id]
+            self.timers.arm(self.now + STRAY_KEPT, "stray", launch.id)
+        else:
+            self.forget(launch)
         self.ended(launch, result, api.Why.UNTOLD)
 
     def stray_due(self, launch_id: on.LaunchId) -> None:
@@ -335,6 +345,8 @@
 
     def over(self, launch: Launch, result: Result, why: api.Why) -> None:
         stray = launch.state is State.STRAY
+        if launch.state is State.HELD and not self.accounts_given:
+            self.out.append(do.PlacedOver(launch.job.id, launch.host, launch.id.number, result))
         self.forget(launch)
         if launch.kept and result in NEVER_RAN:
             self.out.append(do.KeepVoid(launch.id))
@@ -344,7 +356,7 @@
                 self.counts["proven not run"] += 1
             self.ended(launch, result, why)
 
-    def said_yes(self, launch: Launch) -> None:
+    def said_yes(self, launch: Launch, said: str = "") -> None:
         if launch.state is State.STRAY:
             self.late_yes(launch)
             return
@@ -353,7 +365,7 @@
         launch.state = State.HELD
         self.tell(api.Confirmed(launch.job.id, launch.id.number, launch.host))
         if launch.job.id in self.taken:
-            self.answer(launch.job.id, do.Verdict.PLACED, launch.host, launch.id)
+            self.answer(launch.job.id, do.Verdict.PLACED, launch.host, launch.id, said)
         elif not launch.wanted:
             self.stop(launch)   # taken back while the yes was on its way
 
@@ -382,7 +394,7 @@
         if launch is None:
             self.out.append(do.SendStop(event.host, event.launch))  # nobody waits for it, nobody counts it
         elif not self.cluster.settings.starts_confirmed:
-            self.said_yes(launch)
+            self.said_yes(launch, event.said)
 
     def started(self, event: on.Started) -> None:
         launch = self.find(event.host, event.launch)
@@ -421,6 +433,48 @@
             if event.host_memory >= 0:
                 self.tell(api.Noted(launch.job.id, event.host, "host_memory", event.host_memory))
 
+    def told(self, event: on.Told) -> None:
+        launch = self.find(event.host, event.launch)
+        if launch is None or launch.state is not State.HELD:
+            return
+        launch.started = launch.started or event.what == "started"
+        self.tell(api.Noted(launch.job.id, event.host, event.what, event.value))
+
+    # -- what stands without having been launched in this life, where hosts give no account
+
+    def standing(self, event: on.Standing) -> None:
+        self.jobs += 1
+        job = api.Job(f"{self.name}.{self.life}.{self.jobs}", event.offering, event.customer, event.service,
+                      event.cores, event.memory, self.now)
+        record = self.fleet.hosts.get(event.host)
+        self.numbers += 1
+        launch = Launch(on.LaunchId(self.life, self.numbers), job,
+                        self.cluster.settings.offerings[event.offering].effect, event.host, self.now, State.HELD,
+                        started=True, sent=self.now)
+        self.out.append(do.Adopt(event.client, event.key, job.id, event.host, launch.id.number, event.work))
+        if record is None or record.listed.mode is Mode.GONE:
+            self.out.append(do.PlacedOver(job.id, event.host, launch.id.number, Result.CUT))
+            return
+        self.launches[launch.id] = self.by_job[job.id] = record.launches[launch.id] = launch
+        self.tell(api.JobFound(job, event.host))
+
+    def placed_ended(self, event: on.PlacedEnded) -> None:
+        launch = self.by_job.get(event.job)
+        if launch is not None and launch.state is State.HELD:
+            launch.wanted = False
+            self.stop(launch)
+
+    def host_lost(self, event: on.HostLost) -> None:
+        record = self.fleet.hosts.get(event.host)
+        if record is not None:
+            self.cut_standing(record)
+
+    def cut_standing(self, record: HostRecord, before: float = float("inf")) -> None:
+        """What stood there, by launches made before then, is lost with the host."""
+        for launch in list(record.launches.values()):
+            if launch.state is State.HELD and launch.sent < before:
+                self.over(launch, Result.CUT, api.Why.UNTOLD)
+
     # -- probes
 
     def probe(self, host: str) -> None:
@@ -524,11 +578,11 @@
         self.kept_back(event.unsent, Result.UNREACHABLE)
         if event.link:
             for launch in list(record.launches.values()):
-                result = launches.cut(launch) if launch.left == event.link else None
+                result = launches.cut(launch, self.accounts_given) if launch.left == event.link else None
                 if result:
                     self.give_up(launch, result)
         self.lose_gone()
-        if record.launches or not record.asked:     # what the host holds has to be learned
+        if self.accounts_given and (record.launches or not record.asked):     # what the host holds has to be learned
             record.tries += 1
             self.timers.arm(self.now + again_after(record.tries, self.random), "relink", event.host)
 
@@ -554,7 +608,7 @@
     # -- which hosts there are
 
     def list_heard(self, event: on.ListHeard) -> None:
-        entries = tuple(self.fleet.hear(self.now, listed) for listed in event.hosts)
+        entries = tuple(self.heard(listed) for listed in event.hosts)
         self.out += [do.KnowHost(listed) for listed in event.hosts if listed.mode is not Mode.GONE]
         if event.whole:
             self.fleet.missing({listed.id for listed in event.hosts})
@@ -562,12 +616,20 @@
         every = event.whole or event.remembered
         self.ready = self.ready or every
         self.lose_gone()
-        if every:
+        if every and self.accounts_given:
             self.settle_pending()       # hosts may be known, or gone, by now
             self.asking.add([h.id for h in event.hosts if h.mode is not Mode.GONE
                              and not self.fleet.hosts[h.id].asked and h.id not in self.asking.waiting],
                             frozenset(self.pending_at))
 
+    def heard(self, listed: on.ListedHost) -> api.HostEntry:
+        record = self.fleet.hosts.get(listed.id)
+        reborn = record is not None and listed.boot > record.listed.boot
+        entry = self.fleet.hear(self.now, listed)
+        if reborn and not self.accounts_given:    # no account will say that what stood before this start is lost
+            self.cut_standing(record, record.booted)
+        return entry
+
     def lose_gone(self) -> None:
         """A host that is gone for good answers nothing more: what was held there is lost, and is told so."""
         for host in [host for host in self.sessions.unaccounted if self.ready and (
@@ -678,6 +740,8 @@
     on.ListHeard: Engine.list_heard, on.ListFailed: Engine.list_failed,
     on.Left: Engine.left, on.Unsent: Engine.unsent, on.LinkUp: Engine.link_up, on.LinkDown: Engine.link_down, on.Fenced: Engine.fenced,
     on.Accepted: Engine.accepted, on.Refused: Engine.refused, on.Started: Engine.started, on.Used: Engine.used,
+    on.Told: Engine.told, on.Standing: Engine.standing, on.PlacedEnded: Engine.placed_ended,
+    on.HostLost: Engine.host_lost,
     on.Served: Engine.served, on.Over: Engine.host_ended, on.Reported: Engine.reported,
 }
 RINGERS = {
--- a/linedeal/engine/events.py
+++ b/linedeal/engine/events.py
@@ -102,6 +102,28 @@
     session: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """The owner says that this job stands at that host already, and is this controller's from now on."""
+
+    client: int
+    key: str
+    offering: str
+    customer: str
+    service: str
+    cores: float
+    memory: float
+    host: str
+    work: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedEnded:
+    """The owner ends a job that stands; its host says when it has ended."""
+
+    job: str
+
+
 @dataclass(frozen=True, slots=True)
 class AnswerSeen:
     """The session has its answer: it need not be kept any more."""
@@ -192,8 +214,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Accepted:
+    """`said`: what the host gave with its yes, for the owner, carried as it is."""
+
     host: str
     launch: LaunchId
+    said: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -237,6 +262,23 @@
     ran: Ran | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Told:
+    """One figure of a job that stands: `what` as in the interface's `Noted`."""
+
+    host: str
+    launch: LaunchId
+    what: str
+    value: float
+
+
+@dataclass(frozen=True, slots=True)
+class HostLost:
+    """It has died, or has been out of reach for so long that what stood there counts as lost."""
+
+    host: str
+
+
 @dataclass(frozen=True, slots=True)
 class Reported:
     host: str
--- a/linedeal/engine/launches.py
+++ b/linedeal/engine/launches.py
@@ -43,13 +43,14 @@
     why: Why = Why.UNTOLD
 
 
-def cut(launch: Launch) -> Result | None:
+def cut(launch: Launch, provable: bool = True) -> Result | None:
     """The link broke after the frame began to leave. None: it is worth waiting for what a new link shows.
 
     A job that is held runs on without the link. An irreversible one could only be written off; until its time is
-    up the host may return and prove that it never ran. Any other is launched again at once, which is harmless.
+    up the host may return and prove that it never ran, where hosts give accounts of what they hold (`provable`). Any
+    other is launched again at once, which is harmless.
     """
-    if launch.state is not State.OUT or launch.effect is Effect.IRREVERSIBLE:
+    if launch.state is not State.OUT or launch.effect is Effect.IRREVERSIBLE and provable:
         return None
     return Result.CUT
 
--- a/linedeal/net/__init__.py
+++ b/linedeal/net/__init__.py
@@ -1,7 +1,7 @@
 """How bytes travel. Everything that uses the network is handed a `Net`: real sockets, or pipes in memory."""
 
-from linedeal.net.base import Address, Link, LinkLost, Net, open_link, parse_address
+from linedeal.net.base import Address, FrameError, Link, LinkLost, Net, open_link, parse_address
 from linedeal.net.tcp import TcpNet
 from linedeal.net.together import until_lost
 
-__all__ = ["Address", "Link", "LinkLost", "Net", "TcpNet", "open_link", "parse_address", "until_lost"]
+__all__ = ["Address", "FrameError", "Link", "LinkLost", "Net", "TcpNet", "open_link", "parse_address", "until_lost"]
--- a/linedeal/net/base.py
+++ b/linedeal/net/base.py
@@ -1,12 +1,10 @@
 """The seam between the program and the network."""
 
 import math
-from typing import Awaitable, Callable, Protocol
+from typing import Awaitable, Callable, Iterator, Protocol
 
 import anyio
 
-from linedeal.protocol import FrameError, FrameReader
-
 Address = tuple[str, int]
 
 
@@ -14,6 +12,17 @@
     """The other side is gone, or sends what cannot be followed; its text says which."""
 
 
+class FrameError(Exception):
+    """What came cannot be followed; its text is one plain line. The link has to be closed."""
+
+
+class Reader(Protocol):
+    """A codec's half that cuts a byte stream into messages; both raise FrameError."""
+
+    def feed(self, data: bytes) -> Iterator: ...
+    def finish(self) -> None: ...
+
+
 class Stream(Protocol):
     """What anyio's byte streams have in common, over sockets and in memory."""
 
@@ -33,12 +42,13 @@
 
 
 class Link:
-    """Whole messages over one stream. Reading and writing may be in different tasks."""
+    """Whole messages over one stream, cut by `reader`. Reading and writing may be in different tasks."""
 
-    def __init__(self, stream: Stream):
+    def __init__(self, stream: Stream, reader: Reader):
         self.stream = stream
-        self.reader = FrameReader()
+        self.reader = reader
         self.ready: list = []
+        self.fault: FrameError | None = None
 
     async def receive(self):
         """The next message that this version knows. Raises LinkLost when there will be none."""
@@ -59,10 +69,19 @@
             self.ready = await self.read()
 
     async def read(self) -> list:
+        if self.fault is not None:
+            raise LinkLost(f"bad frame: {self.fault}")
         try:
-            return list(self.reader.feed(await self.stream.receive()))
-        except FrameError as error:
-            raise LinkLost(f"bad frame: {error}") from None
+            data = await self.stream.receive()
+            ready = []
+            try:
+                for message in self.reader.feed(data):
+                    ready.append(message)
+            except FrameError as error:     # what was whole before it counts all the same
+                self.fault = error
+                if not ready:
+                    raise LinkLost(f"bad frame: {error}") from None
+            return ready
         except anyio.EndOfStream:
             try:
                 self.reader.finish()
@@ -88,13 +107,13 @@
             await anyio.aclose_forcefully(self.stream)
 
 
-async def open_link(net: Net, address: Address, hello: bytes, within: float) -> tuple[Link, object]:
+async def open_link(net: Net, address: Address, reader: Reader, hello: bytes, within: float) -> tuple[Link, object]:
     """A link that has said `hello`, and the first message that came back. Raises LinkLost, also when none comes within
     so many seconds; no link is left open then."""
     link = None
     try:
         with anyio.fail_after(within):
-            link = Link(await net.connect(address))
+            link = Link(await net.connect(address), reader)
             await link.send(hello)
             return link, await link.receive()
     except BaseException as error:
--- /dev/null
+++ b/linedeal/platform/hostlink.py
@@ -0,0 +1,381 @@
+"""The connections to one host. What has begun to be written may reach it, what has not never will: this file keeps
+that line. A standing job belongs to no connection, so one is kept up while any stands there.
+"""
+
+from collections import deque
+
+import anyio
+
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
+from linedeal.interface import Mode, Result, Why
+from linedeal.loop import Inbox
+from linedeal.net import FrameError, Link, LinkLost, Net, parse_address, until_lost
+from linedeal.net.base import LOST, reason
+from linedeal.platform import hosts, owners
+from linedeal.platform.hosts import Code, Type
+from linedeal.settings.records import Limits
+from linedeal.wiresettings import NOTES, REASONS
+
+LIFE = 1                # a start knows of no earlier one
+CONNECTIONS = 3         # to one host, so that one spoilt answer costs few others their connection
+QUEUE = 512             # messages that wait for one host
+LOOK = 0.25             # seconds between two looks at a connection
+UNFINISHED = 1.0        # seconds for which a frame may stay unfinished
+SILENT = 2.0            # seconds without a word after a set-up or a test
+QUIET = 2.5             # seconds without a word after which a host with standing jobs is tested
+SEND_WITHIN = 2.0       # seconds for a host to make room for what is written
+LOST_AFTER = 6.0        # seconds out of reach after which what stands there counts as lost
+RETRY = 0.2             # seconds between two tries for standing jobs' sake
+REFUSALS = 2            # refused connections in a row that show a dead process
+IDLE_SHARE = 0.6        # of the idle time after which hosts close, after which we do
+WHY = dict(zip(("nc", "nm", "nq", "nh", "ev", "pre", "dr"), (REASONS[number] for number in range(1, 8))))
+NOTE_NAMES = dict(zip(("live", "c", "m", "s", "p"), (NOTES[number] for number in range(1, 6))))
+ENDS = {16: Result.DONE, 31: Result.STOPPED, 47: Result.ERROR}
+
+
+class Connection:
+    def __init__(self, number: int, link: Link, now: float):
+        self.number, self.link = number, link
+        self.outbox: deque = deque()
+        self.wake = anyio.Event()
+        self.out: dict[bytes, int] = {}         # launches without an answer, by task
+        self.unsent: set[int] = set()           # ... of which nothing has been written yet
+        self.probes: dict[bytes, int] = {}
+        self.heard_at = self.used_at = now
+        self.asked_at = 0.0                     # the first set-up or test since it was last heard; 0: none
+        self.unfinished_at = 0.0
+        self.shut = False                       # takes no launch any more
+
+    def queue(self, effect) -> None:
+        self.outbox.append(effect)
+        self.wake.set()
+
+
+class HostLink:
+    """One host over the life of a controller. The sync methods are for the loop that carries out effects."""
+
+    def __init__(self, listed: on.ListedHost, net: Net, limits: Limits, idle: float, report_names: dict[str, str],
+                 inbox: Inbox, next_number, log):
+        self.listed, self.net, self.limits, self.inbox, self.log = listed, net, limits, inbox, log
+        self.idle, self.report_names, self.next_number = idle, report_names, next_number
+        self.outbox: deque = deque()
+        self.connections: list[Connection] = []
+        self.tasks_of: dict[int, bytes] = {}            # launches that are out or stand
+        self.standing: dict[bytes, int] = {}
+        self.stops: dict[bytes, None] = {}              # standing jobs to be ended there, until it says so
+        self.wake = anyio.Event()
+        self.scope = anyio.CancelScope()
+        self.heard_at = 0.0
+        self.shut_until = 0.0           # no further connection before, others serve
+        self.refusals = 0
+
+    # -- for the engine's effects
+
+    def relist(self, listed: on.ListedHost) -> None:
+        """What a newer list says. Launches that still wait for a host that drains go back."""
+        self.listed = listed
+        if listed.mode is not Mode.SERVING:
+            self.keep_back()
+
+    def launch(self, effect: do.SendLaunch) -> None:
+        if len(self.outbox) >= QUEUE:
+            self.inbox.put(on.Unsent(self.listed.id, (effect.number,)))
+            return
+        self.tasks_of[effect.number] = effect.work[:8]
+        self.queue(effect)
+
+    def adopt(self, effect: do.Adopt) -> None:
+        self.tasks_of[effect.number] = effect.work[:8]
+        self.standing[effect.work[:8]] = effect.number
+        self.wake.set()
+
+    def probe(self, effect: do.SendProbe) -> None:
+        if len(self.outbox) < QUEUE:
+            self.queue(effect)
+
+    def queue(self, effect) -> None:
+        self.outbox.append(effect)
+        self.wake.set()
+
+    def keep_back(self, number: int | None = None) -> None:
+        """Hands launches back that have not begun to leave, or that one."""
+        def meant(effect):
+            return isinstance(effect, do.SendLaunch) and number in (None, effect.number)
+
+        back = []
+        for holder in (self, *self.connections):
+            mine = [effect for effect in holder.outbox if meant(effect)]
+            if mine:
+                holder.outbox = deque(effect for effect in holder.outbox if not meant(effect))
+                back += mine
+        for connection in self.connections:
+            for effect in back:
+                if effect.number in connection.unsent:
+                    connection.unsent.discard(effect.number)
+                    del connection.out[effect.work[:8]]
+        for effect in back:
+            self.tasks_of.pop(effect.number, None)
+        if back:
+            self.inbox.put(on.Unsent(self.listed.id, tuple(effect.number for effect in back)))
+
+    def stop(self, effect: do.SendStop) -> None:
+        """Gives a launch up, or ends what stands."""
+        number = effect.launch.number
+        self.keep_back(number)
+        task = self.tasks_of.get(number)
+        if task is None:
+            return
+        if self.standing.get(task) == number:
+            if task not in self.stops:
+                self.stops[task] = None
+                if self.connections:
+                    self.best().queue(released(task))
+                else:
+                    self.wake.set()
+            return
+        del self.tasks_of[number]
+        for connection in self.connections:
+            if connection.out.get(task) == number:
+                del connection.out[task]
+                connection.queue(released(task))
+                if connection.asked_at:     # not a word since: whatever else is out on it goes on, nothing new does
+                    connection.shut = True
+
+    def forget(self, effect: do.PlacedOver) -> None:
+        task = self.tasks_of.pop(effect.number, None)
+        if task is not None and self.standing.get(task) == effect.number:
+            del self.standing[task]
+            self.stops.pop(task, None)
+
+    def cancel(self) -> None:
+        """The host is gone for good."""
+        self.scope.cancel()
+
+    # -- tasks
+
+    async def run(self) -> None:
+        with self.scope:
+            async with anyio.create_task_group() as self.tasks:
+                while True:
+                    await self.wake.wait()
+                    self.wake = anyio.Event()
+                    while self.dispatch():
+                        await self.open()
+
+    def best(self) -> Connection | None:
+        return min((c for c in self.connections if not c.shut), key=lambda c: len(c.out),
+                   default=self.connections[0] if self.connections else None)
+
+    def dispatch(self) -> bool:
+        """Hands what waits to connections; true where one more connection is wanted first."""
+        now = anyio.current_time()
+        may_open = len(self.connections) < CONNECTIONS and now >= self.shut_until
+        while self.outbox:
+            best, effect = self.best(), self.outbox[0]
+            launch = isinstance(effect, do.SendLaunch)
+            if best is None or may_open and (best.shut or launch and best.out):
+                return True
+            self.outbox.popleft()
+            if launch:
+                best.out[effect.work[:8]] = effect.number
+                best.unsent.add(effect.number)
+            best.queue(effect)
+        return bool(self.standing) and not self.connections and now >= self.shut_until
+
+    async def open(self) -> None:
+        stream, refused = None, False
+        try:
+            with anyio.fail_after(self.limits.connect):
+                stream = await self.net.connect(parse_address(self.listed.addresses[0]))
+        except TimeoutError:
+            why = "it does not answer"
+        except ValueError as error:
+            why = str(error)
+        except LOST as error:
+            why, refused = reason(error), isinstance(error.__cause__ or error, ConnectionRefusedError)
+        if stream is None:
+            await self.not_opened(why, refused)
+            return
+        now = self.heard_at = anyio.current_time()
+        self.refusals = 0
+        connection = Connection(self.next_number(), Link(stream, hosts.FrameReader()), now)
+        self.connections.append(connection)
+        for task in self.stops:
+            connection.queue(released(task))
+        self.tasks.start_soon(self.serve, connection)
+
+    async def not_opened(self, why: str, refused: bool) -> None:
+        now = anyio.current_time()
+        self.refusals = self.refusals + 1 if refused else 0
+        self.shut_until = now + RETRY
+        if not self.connections:
+            unsent = tuple(e.number for e in self.outbox if isinstance(e, do.SendLaunch))
+            self.outbox.clear()
+            for number in unsent:
+                self.tasks_of.pop(number, None)
+            await self.inbox.post(on.LinkDown(self.listed.id, 0, unsent, why))
+            if self.standing and (self.refusals >= REFUSALS or now - self.heard_at > LOST_AFTER):
+                self.log.warning("host lost", host=self.listed.id, reason=why, standing=len(self.standing))
+                await self.inbox.post(on.HostLost(self.listed.id))
+        self.tasks.start_soon(self.wake_later, RETRY)
+
+    async def wake_later(self, seconds: float) -> None:
+        await anyio.sleep(seconds)
+        self.wake.set()
+
+    async def serve(self, connection: Connection) -> None:
+        try:
+            await until_lost(self.write(connection), self.read(connection), self.mind(connection))
+        except LinkLost as error:
+            why = str(error)
+        finally:
+            self.connections.remove(connection)
+            await connection.link.close()
+        for task, number in connection.out.items():
+            self.tasks_of.pop(number, None)
+        self.outbox.extendleft(effect for effect in reversed(connection.outbox) if isinstance(effect, do.SendProbe))
+        unsent = tuple(number for number in connection.out.values() if number in connection.unsent)
+        if connection.out:
+            self.log.info("launches cut", host=self.listed.id, reason=why, out=len(connection.out), unsent=len(unsent))
+        if connection.out or connection.probes:
+            await self.inbox.post(on.LinkDown(self.listed.id, connection.number, unsent, why))
+        self.wake.set()
+
+    async def write(self, connection: Connection) -> None:
+        while True:
+            await connection.wake.wait()
+            connection.wake = anyio.Event()
+            data = self.gather(connection)
+            if data:
+                connection.used_at = anyio.current_time()
+                await connection.link.send(data, SEND_WITHIN)
+
+    def gather(self, connection: Connection) -> bytes:
+        """The bytes of the next write. The engine is told of launches in it before the first byte goes."""
+        now, data, numbers, asks = anyio.current_time(), bytearray(), [], False
+        while connection.outbox:
+            effect = connection.outbox.popleft()
+            if isinstance(effect, bytes):
+                data += effect
+            elif isinstance(effect, do.SendProbe):
+                probe = effect.number.to_bytes(8)
+                connection.probes[probe] = effect.number
+                data += hosts.encode(Type.PING, probe, hosts.parameter(Code.CAUSE, b"\x01"))
+                asks = True
+            elif effect.boot != self.listed.boot or self.listed.mode is not Mode.SERVING or effect.due <= now:
+                # what it was decided on holds no more: a host that started again is cold, one that drains takes nothing
+                self.take_out(connection, effect)
+            else:
+                connection.unsent.discard(effect.number)
+                numbers.append(effect.number)
+                wait = hosts.parameter(Code.WAIT, b"%d" % ((effect.due - now) * 1000))
+                data += hosts.encode(Type.SETUP, effect.work[:8], effect.work[8:] + wait)
+                asks = True
+        if numbers:
+            self.inbox.put(on.Left(self.listed.id, connection.number, tuple(numbers)))
+        if asks and not connection.asked_at:
+            connection.asked_at = now
+        return bytes(data)
+
+    def take_out(self, connection: Connection, effect: do.SendLaunch) -> None:
+        connection.unsent.discard(effect.number)
+        connection.out.pop(effect.work[:8], None)
+        self.tasks_of.pop(effect.number, None)
+        self.inbox.put(on.Unsent(self.listed.id, (effect.number,)))
+
+    async def read(self, connection: Connection) -> None:
+        while True:
+            frames = await connection.link.receive_all()
+            now = connection.heard_at = connection.used_at = self.heard_at = anyio.current_time()
+            connection.asked_at = 0.0
+            connection.unfinished_at = now if connection.link.reader.rest else 0.0
+            events, fault = [], None
+            for frame in frames:
+                try:
+                    event = self.said(connection, frame)
+                except FrameError as error:
+                    fault = error
+                    break
+                if event is not None:
+                    events.append(event)
+            await self.inbox.post(*events)
+            if fault is not None:
+                raise LinkLost(f"bad frame: {fault}")
+
+    async def mind(self, connection: Connection) -> None:
+        """Ends a connection that is of no more use; what hangs, cut off or spoilt looks like this."""
+        while True:
+            await anyio.sleep(LOOK)
+            now = anyio.current_time()
+            rest = connection.link.reader.rest
+            connection.unfinished_at = (connection.unfinished_at or now) if rest else 0.0
+            if rest and now - connection.unfinished_at > UNFINISHED:
+                raise LinkLost("a frame that does not end")
+            if connection.asked_at and now - connection.asked_at > SILENT:
+                raise LinkLost(f"not a word for {SILENT:g} s")
+            if len(connection.outbox) > QUEUE:
+                raise LinkLost(f"{len(connection.outbox)} messages wait for it")
+            if connection.shut and not connection.out:
+                raise LinkLost("its last launch was not answered")
+            last = self.standing and len(self.connections) == 1
+            if now - connection.used_at > self.idle * IDLE_SHARE and not connection.out and not last:
+                raise LinkLost("idle")
+            if last and not connection.asked_at and now - self.heard_at > QUIET:
+                connection.asked_at = now
+                connection.queue(hosts.encode(Type.PING, bytes(8), hosts.parameter(Code.CAUSE, b"\x00")))
+
+    # -- what the host says
+
+    def said(self, connection: Connection, frame: hosts.Frame):
+        """The engine's event, or None. Raises FrameError."""
+        host, task = self.listed.id, frame.task
+        if frame.type == Type.NOTE:
+            number, what = self.standing.get(task), NOTE_NAMES.get(frame.text(Code.NAME))
+            value = hosts.figure(frame.text(Code.FIGURE)) if what != "started" else 1.0
+            if number is None or what is None or value is None:
+                return None
+            return on.Told(host, on.LaunchId(LIFE, number), what, value)
+        if frame.type == Type.PONG:
+            number = connection.probes.pop(task, None)
+            if number is None or frame.cause() != 1:
+                return None
+            figures = frame.pairs(Code.REPORT)
+            return on.Reported(host, number, {self.report_names[name]: value for name, value in figures.items()
+                                              if name in self.report_names})
+        if frame.type == Type.ANSWER and task in connection.out and connection.out[task] not in connection.unsent:
+            description = frame.text(Code.DESCRIPTION)
+            if not description:
+                raise FrameError("an answer without a description")
+            number = connection.out.pop(task)
+            self.standing[task] = number
+            return on.Accepted(host, on.LaunchId(LIFE, number), description)
+        if frame.type == Type.RELEASE:
+            return self.released(connection, frame)
+        if frame.type == Type.PING:
+            connection.queue(hosts.encode(Type.PONG, task, hosts.parameter(Code.CAUSE, b"\x01")))
+        return None         # second copies, unknown tasks and what means nothing are passed over
+
+    def released(self, connection: Connection, frame: hosts.Frame):
+        host, task, cause = self.listed.id, frame.task, frame.cause()
+        why = WHY.get(frame.text(Code.NAME), Why.UNTOLD)
+        number = connection.out.get(task)
+        if number is not None and number not in connection.unsent:
+            del connection.out[task]
+            self.tasks_of.pop(number, None)
+            launch = on.LaunchId(LIFE, number)
+            if cause == owners.REFUSED:
+                return on.Refused(host, launch, why)
+            if cause == 102:
+                return on.Unsent(host, (number,))
+            return on.Over(host, launch, Result.ERROR if cause == owners.FAILED else Result.CUT, why)
+        number = self.standing.pop(task, None)
+        if number is None:
+            return None
+        self.tasks_of.pop(number, None)
+        self.stops.pop(task, None)
+        return on.Over(host, on.LaunchId(LIFE, number), ENDS.get(cause, Result.CUT), why)
+
+
+def released(task: bytes) -> bytes:
+    return hosts.encode(Type.RELEASE, task, hosts.parameter(Code.CAUSE, bytes([owners.GIVEN_UP])))
--- /dev/null
+++ b/linedeal/platform/route.py
@@ -0,0 +1,159 @@
+"""Maps the platform's task ids to the engine's jobs and back. Free of I/O; decides nothing of where jobs go."""
+
+from dataclasses import dataclass
+
+from linedeal import interface as api
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
+from linedeal.platform import hosts, owners
+from linedeal.platform.hosts import Code
+
+CAUSES = {api.Result.DONE: owners.GIVEN_UP, api.Result.STOPPED: owners.ENDED_OTHERWISE}
+PASSED_OVER = frozenset(("progress", "released", "note", "move", "pong"))
+
+
+class Unwelcome(Exception):
+    """No answer can be given under that id: the connection has to be closed."""
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One id that is open or stands."""
+
+    id: str
+    client: int                 # the connection that its set-up came on
+    job: str = ""               # the engine's name for it
+    stands: bool = False
+    ending: bool = False        # its owner has ended it and is owed no more
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """What one line comes to: an event for the engine, or a reply, or nothing. `usual`: as the protocol has it; None
+    where that cannot be told, as of a word about a task that has ended."""
+
+    event: object = None
+    reply: bytes = b""
+    usual: bool | None = True
+
+
+class Route:
+    def __init__(self, settings: api.Settings):
+        self.settings = settings
+        self.ready = False
+        self.tasks: dict[str, Task] = {}
+        self.by_job: dict[str, Task] = {}
+        self.open: dict[int, set[str]] = {}     # ids that are owed an answer, by connection
+
+    # -- from owners
+
+    def heard(self, client: int, line: owners.Line) -> Heard:
+        """Raises Unwelcome."""
+        if line.type == "setup" and not line.fault:
+            return self.setup(client, line)
+        if line.type == "release" and not line.fault:
+            return self.released(client, line)
+        if line.type == "ping" and not line.fault:
+            return Heard(reply=owners.pong(line.id, self.ready))
+        if line.type in PASSED_OVER and not line.fault:
+            return Heard(usual=line.id in self.tasks or None)
+        return self.refused(line.id)
+
+    def refused(self, task: str) -> Heard:
+        if task in self.tasks:      # a refusal would be one of the job that has this id, which may have been launched
+            raise Unwelcome("a message that cannot be read has the id of a known task")
+        return Heard(reply=owners.release(task, owners.REFUSED), usual=False)
+
+    def setup(self, client: int, line: owners.Line) -> Heard:
+        known = self.tasks.get(line.id)
+        try:
+            ask = owners.read_ask(line, self.settings)
+        except owners.BadAsk:
+            return self.refused(line.id)
+        if known is not None:
+            if known.client == client and not known.stands or known.stands and ask.at:
+                return Heard(usual=False)       # the first of that id goes on, and is answered
+            raise Unwelcome("a second set-up under the id of a known task")
+        task = self.tasks[line.id] = Task(line.id, client, stands=bool(ask.at))
+        work = work_of(line.id, ask, line.sdp)
+        if ask.at:
+            return Heard(on.Standing(client, line.id, ask.offering, ask.customer, ask.service, ask.cores, ask.memory,
+                                     ask.at, work))
+        self.open.setdefault(client, set()).add(task.id)
+        return Heard(on.Submitted(client, line.id, ask.offering, ask.customer, ask.service, ask.cores, ask.memory,
+                                  ask.left, work=work))
+
+    def released(self, client: int, line: owners.Line) -> Heard:
+        task = self.tasks.get(line.id)
+        if task is None:
+            return Heard(usual=None)    # it may have crossed ours
+        if task.stands:             # belongs to no connection
+            task.ending = True
+            return Heard(on.PlacedEnded(task.job))
+        if task.client != client:
+            raise Unwelcome("it gives up what another connection has open")
+        self.drop(task)
+        return Heard(on.TakenBack(client, task.id))
+
+    def client_left(self, client: int) -> on.ClientLeft:
+        for task in list(self.open.get(client, ())):
+            self.drop(self.tasks[task])
+        return on.ClientLeft(client)
+
+    def drop(self, task: Task) -> None:
+        self.tasks.pop(task.id, None)
+        self.by_job.pop(task.job, None)
+        self.answered(task)
+
+    def answered(self, task: Task) -> None:
+        mine = self.open.get(task.client)
+        if mine is not None:
+            mine.discard(task.id)
+            if not mine:
+                del self.open[task.client]
+
+    # -- from the engine; each gives the connection meant, or 0 for none, and the bytes for it
+
+    def taken(self, effect: do.Take | do.Adopt) -> None:
+        task = self.tasks.get(effect.key)
+        if task is not None:
+            task.job = effect.job
+            self.by_job[effect.job] = task
+
+    def turned_away(self, effect: do.TurnAway) -> tuple[int, bytes]:
+        task = self.tasks.get(effect.key)
+        if task is None or task.client != effect.client:
+            return 0, b""
+        self.drop(task)
+        return task.client, owners.release(task.id, owners.REFUSED)
+
+    def answer(self, effect: do.Answer) -> tuple[int, bytes]:
+        task = self.by_job.get(effect.job)
+        if task is None:
+            return 0, b""
+        if effect.verdict is do.Verdict.PLACED:
+            task.stands = True
+            self.answered(task)
+            return task.client, owners.answer(task.id, effect.said)
+        self.drop(task)
+        cause = owners.REFUSED if effect.verdict is do.Verdict.REJECTED else owners.FAILED
+        return task.client, owners.release(task.id, cause)
+
+    def over(self, effect: do.PlacedOver) -> tuple[int, bytes]:
+        """What stood has ended: its owner hears of it, unless it was the owner that ended it."""
+        task = self.by_job.get(effect.job)
+        if task is None:
+            return 0, b""
+        self.drop(task)
+        if task.ending or effect.result is api.Result.STOPPED:
+            return 0, b""
+        return task.client, owners.release(task.id, CAUSES.get(effect.result, owners.CUT))
+
+
+def work_of(task: str, ask: owners.Ask, description: str) -> bytes:
+    """What goes to the host unchanged: the id, and the parameters that its owner gave."""
+    parts = [bytes.fromhex(task), hosts.parameter(Code.OFFERING, ask.offering.encode())]
+    if ask.key:
+        parts.append(hosts.parameter(Code.KEY, ask.key.encode()))
+    parts.append(hosts.parameter(Code.DESCRIPTION, description.encode()))
+    return b"".join(parts)
--- /dev/null
+++ b/linedeal/platform/service.py
@@ -0,0 +1,174 @@
+"""One life of a controller on the platform: starts, turns the engine, carries out its effects, obeys signals."""
+
+import itertools
+import signal
+import time
+from pathlib import Path
+
+import anyio
+
+from linedeal.engine import Engine
+from linedeal.engine import effects as do
+from linedeal.engine import events as on
+from linedeal.interface import Mode
+from linedeal.loop import Inbox, Turning
+from linedeal.net import Net
+from linedeal.platform import config
+from linedeal.platform.bus import BadEvent, BusPoll, Feed
+from linedeal.platform.hostlink import LIFE, HostLink
+from linedeal.platform.ownerlink import Owners
+from linedeal.platform.route import Route
+
+COMING = 0.9            # seconds after SIGTERM for which set-ups still come
+LEAVE_MOST = 3.4        # seconds after SIGTERM by which all is over
+OWNERS_SHARE = 0.5      # of the descriptors, for connections of owners
+TELL_EVERY = 10.0       # seconds between two lines that sum up
+NOTES_MOST = 20         # lines of one kind between two of those
+
+
+class Service:
+    def __init__(self, setup: config.Config, path: str, net: Net, log):
+        self.setup, self.path, self.net, self.log = setup, path, net, log.bind(controller=setup.name)
+        self.hosts: dict[str, HostLink] = {}
+        self.leaving_at = float("inf")
+        self.said: dict[str, int] = {}
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        setup = self.setup
+        numbers = itertools.count(1)
+        self.next_number = lambda: next(numbers)
+        self.engine = Engine(setup.cluster, setup.name, LIFE, setup.seed, anyio.current_time(), accounts_given=False)
+        self.inbox = Inbox(self.engine.put)
+        self.turning = Turning(self.engine, self.inbox, setup.cluster.limits.tick)
+        self.route = Route(setup.cluster.settings)
+        self.owners = Owners(self.route, self.net, self.inbox, int(setup.sockets * OWNERS_SHARE), self.next_number,
+                             self.log)
+        self.feed = Feed()
+        self.bus = BusPoll(setup.bus, self.feed, self.net, self.inbox, self.log)
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async with anyio.create_task_group() as self.tasks:
+                self.tasks.start_soon(self.obey, signals)
+                for effect in self.engine.begin():
+                    self.carry(effect)
+                self.start_list()
+                self.turn()
+                self.tasks.start_soon(self.bus.run)
+                self.tasks.start_soon(self.tell)
+                await self.tasks.start(self.owners.run, setup.listen)
+                self.log.info("takes jobs", hosts=len(self.hosts), events=self.feed.number)
+                task_status.started()
+                await self.turn_until_left()
+                self.tasks.cancel_scope.cancel()
+
+    def start_list(self) -> None:
+        try:
+            for heard in self.feed.take(self.setup.known, time.time()):
+                self.engine.put(heard)
+        except BadEvent as error:
+            self.log.warning("list at the start", reason=str(error))
+            self.feed.number = 0
+
+    async def obey(self, signals) -> None:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                self.reload()
+            else:
+                self.leaving_at = min(self.leaving_at, anyio.current_time())
+                self.log.info("leaves", owed=len(self.engine.taken))
+                self.inbox.arrived.set()
+
+    def reload(self) -> None:
+        try:
+            fresh = config.read(self.path)
+        except config.ConfigFault as error:
+            self.log.error("configuration refused, the former stays", reason=str(error))
+            return
+        self.bus.move(fresh.bus)
+        self.log.info("configuration read", bus="%s:%d" % fresh.bus)
+
+    def turn(self) -> None:
+        for effect in self.turning.turn():
+            self.carry(effect)
+        self.route.ready = self.engine.ready
+
+    async def turn_until_left(self) -> None:
+        while True:
+            self.turn()
+            now, due = anyio.current_time(), self.engine.next_due()
+            if now >= self.leaving_at + COMING and not self.engine.taken or now >= self.leaving_at + LEAVE_MOST:
+                await anyio.sleep(0.05)     # the last answers are on their way
+                self.log.info("ends", owed=len(self.engine.taken))
+                return
+            if self.leaving_at < now:
+                due = min(due, self.leaving_at + (COMING if now < self.leaving_at + COMING else LEAVE_MOST))
+            await self.turning.wait(due)
+
+    def carry(self, effect) -> None:
+        kind = type(effect)
+        if kind in LINK_EFFECTS:
+            link = self.hosts.get(effect.host)
+            if link is not None:
+                LINK_EFFECTS[kind](link, effect)
+            elif kind is do.SendLaunch:
+                self.inbox.put(on.Unsent(effect.host, (effect.number,)))
+        if kind in OWNER_EFFECTS:
+            told = OWNER_EFFECTS[kind](self.route, effect)
+            if told is not None:
+                self.owners.send(*told)
+        elif kind is do.KnowHost:
+            self.know(effect.host)
+        elif kind is do.DropHost:
+            link = self.hosts.pop(effect.host, None)
+            if link is not None:
+                link.cancel()
+        elif kind is do.Note:
+            self.note(effect)
+        elif kind not in LINK_EFFECTS and kind not in NEEDLESS:
+            raise TypeError(f"nothing carries out {effect!r}")
+
+    def note(self, effect: do.Note) -> None:
+        """Bounded in rate: a trouble that goes on is told by its count."""
+        count = self.said[effect.event] = self.said.get(effect.event, 0) + 1
+        if count <= NOTES_MOST:
+            getattr(self.log, effect.level)(effect.event, **dict(effect.fields))
+
+    def know(self, listed: on.ListedHost) -> None:
+        link = self.hosts.get(listed.id)
+        if link is None:
+            setup = self.setup
+            link = self.hosts[listed.id] = HostLink(listed, self.net, setup.cluster.limits, setup.idle,
+                                                    setup.report_names, self.inbox, self.next_number, self.log)
+            self.tasks.start_soon(link.run)
+        link.relist(listed)
+
+    async def tell(self) -> None:
+        while True:
+            await anyio.sleep(TELL_EVERY)
+            self.said.clear()
+            counts = {name.replace(" ", "_"): value for name, value in
+                      (self.engine.counts | self.owners.counts).items() if value}
+            self.log.info(
+                "at work", held=len(self.engine.taken), waiting=len(self.engine.module.waiting),
+                standing=len(self.route.tasks) - len(self.engine.taken), owners=len(self.owners.links),
+                links=sum(len(link.connections) for link in self.hosts.values()), hosts=len(self.hosts),
+                known_launches=len(self.engine.launches), kb=resident(), **counts)
+
+
+def resident() -> int:
+    """Memory in use, in KB; 0 where the system does not tell."""
+    try:
+        return int(Path("/proc/self/statm").read_text().split()[1]) * 4
+    except (OSError, ValueError, IndexError):
+        return 0
+
+
+LINK_EFFECTS = {
+    do.SendLaunch: HostLink.launch, do.SendProbe: HostLink.probe, do.SendStop: HostLink.stop,
+    do.Unsend: lambda link, effect: link.keep_back(effect.number),
+    do.Adopt: HostLink.adopt, do.PlacedOver: HostLink.forget,
+}
+OWNER_EFFECTS = {
+    do.Take: Route.taken, do.Adopt: Route.taken, do.TurnAway: Route.turned_away, do.Answer: Route.answer,
+    do.PlacedOver: Route.over,
+}
+NEEDLESS = (do.Watch, do.SendEndSeen)     # the bus is read all the time, and hosts wait for no word of an end
--- a/linedeal/protocol/frames.py
+++ b/linedeal/protocol/frames.py
@@ -11,6 +11,7 @@
 import zstandard
 from google.protobuf.message import DecodeError, EncodeError
 
+from linedeal.net import FrameError
 from linedeal.protocol import linedeal_pb2 as pb
 
 HEAD = struct.Struct(">IB")
@@ -20,10 +21,6 @@
 PACK_FROM = 1024            # host lists shorter than this gain nothing from zstd
 
 
-class FrameError(Exception):
-    """What came cannot be followed; its text is one plain line. The link has to be closed."""
-
-
 def encode(message, pack: bool = False) -> bytes:
     """One frame around `message`, any message that `Envelope` can hold. Raises FrameError when it is too large.
 
--- a/linedeal/standin/discovery.py
+++ b/linedeal/standin/discovery.py
@@ -5,7 +5,7 @@
 import anyio
 
 from linedeal.net import Address, Link, LinkLost, Net, until_lost
-from linedeal.protocol import encode, pb
+from linedeal.protocol import FrameReader, encode, pb
 
 PERIOD = 0.25       # seconds between two versions of the list
 SILENT = 2.0        # seconds without a line after which a host is listed as gone
@@ -61,7 +61,7 @@
         return plain[0] != plain[1]
 
     async def handle(self, stream) -> None:
-        link = Link(stream)
+        link = Link(stream, FrameReader())
         try:
             with anyio.fail_after(HELLO):
                 hello = await link.receive()
--- a/linedeal/standin/host.py
+++ b/linedeal/standin/host.py
@@ -6,7 +6,7 @@
 
 from linedeal.net import Address, Link, LinkLost, Net, until_lost
 from linedeal.net.base import LOST
-from linedeal.protocol import encode, pb
+from linedeal.protocol import FrameReader, encode, pb
 from linedeal.standin.model import HostModel
 
 REPORT_EVERY = 0.25     # seconds between two lines to discovery
@@ -62,7 +62,7 @@
             peer.wake.set()
 
     async def handle(self, stream) -> None:
-        link, peer = Link(stream), None
+        link, peer = Link(stream, FrameReader()), None
         try:
             with anyio.fail_after(HELLO):
                 hello = await link.receive()
@@ -127,7 +127,7 @@
         while True:
             link = None
             try:
-                link = Link(await self.net.connect(self.discovery))
+                link = Link(await self.net.connect(self.discovery), FrameReader())
                 await link.send(encode(pb.Hello(version=1, role=pb.HOST, name=self.model.name)))
                 while True:
                     await link.send(encode(pb.HostList(hosts=[self.entry()])))
--- a/linedeal/standin/model.py
+++ b/linedeal/standin/model.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from linedeal.protocol import pb
-from linedeal.settings.cluster import Cluster
+from linedeal.settings.records import Cluster
 
 ENDS_KEPT = 10000       # ends that no controller has seen yet; past that the host owns up to having forgotten
 
--- a/linedeal/wirehost.py
+++ b/linedeal/wirehost.py
@@ -9,19 +9,13 @@
 
 from linedeal import interface as api
 from linedeal.policy import Controller
-from linedeal.wiresettings import BadSetting, read_settings
+from linedeal.wiresettings import MODES, NOTES, REASONS, BadSetting, read_settings, report_names
 
 RESULTS = {
     "ok": api.Result.DONE, "error": api.Result.ERROR, "full": api.Result.TURNED_AWAY,
     "timeout": api.Result.SILENT, "connect_failed": api.Result.UNREACHABLE, "reset": api.Result.CUT,
     "cancelled": api.Result.STOPPED, "moot": api.Result.UNSENT,
 }
-REASONS = {
-    1: api.Why.CORES, 2: api.Why.MEMORY, 3: api.Why.QUEUE, 4: api.Why.NOT_HERE,
-    5: api.Why.EVICTED, 6: api.Why.PUSHED_OUT, 7: api.Why.SENT_AWAY,
-}
-NOTES = {1: "started", 2: "cores", 3: "memory", 4: "served", 5: "host_memory"}
-MODES = {"SERVING": api.Mode.SERVING, "DRAINING": api.Mode.DRAINING, "DELETED": api.Mode.GONE}
 
 
 class BadInput(Exception):
@@ -31,12 +25,10 @@
 class Instance:
     def __init__(self, settings, setup, seed, now):
         self.controller = Controller(settings, seed, now)
-        free_by = setup.get("domain", {}).get("free_by")
-        self.free = ("idle_cores", "idle_memory") if free_by == "used" else ("unasked_cores", "unasked_memory")
+        self.names = report_names(setup)
 
     def report(self, pairs):
-        names = {"x0": self.free[0], "x1": self.free[1]}
-        return {names[name]: value for name, value in (pairs or {}).items() if name in names}
+        return {self.names[name]: value for name, value in (pairs or {}).items() if name in self.names}
 
 
 class WireHost:
--- a/linedeal/wiresettings.py
+++ b/linedeal/wiresettings.py
@@ -8,6 +8,19 @@
 PLACES = {"all": api.Place.ALL, "zone": api.Place.ZONE, "cell": api.Place.CELL, "machine": api.Place.HOST,
           "off": api.Place.NONE}
 
+REASONS = {
+    1: api.Why.CORES, 2: api.Why.MEMORY, 3: api.Why.QUEUE, 4: api.Why.NOT_HERE,
+    5: api.Why.EVICTED, 6: api.Why.PUSHED_OUT, 7: api.Why.SENT_AWAY,
+}
+MODES = {"SERVING": api.Mode.SERVING, "DRAINING": api.Mode.DRAINING, "DELETED": api.Mode.GONE}
+NOTES = {1: "started", 2: "cores", 3: "memory", 4: "served", 5: "host_memory"}
+
+
+def report_names(setup):
+    """The interface's names for the figures of a host's report."""
+    used = setup.get("domain", {}).get("free_by") == "used"
+    return {"x0": "idle_cores", "x1": "idle_memory"} if used else {"x0": "unasked_cores", "x1": "unasked_memory"}
+
 
 def get(table, path, kind):
     value = table
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -254,7 +254,7 @@
         good, verdicts = Client.connect(ground.net, ("c1", 1), "good"), []
 
         async def misbehave():
-            link, _ = await open_link(ground.net, ("c1", 1), encode(pb.Hello(
+            link, _ = await open_link(ground.net, ("c1", 1), FrameReader(), encode(pb.Hello(
                 version=VERSION, role=pb.CLIENT, name="rogue", session="rogue")), 1.0)
             try:
                 await flood(link, ROGUES[rogue]())
@@ -311,7 +311,7 @@
 
 
 async def hello_of(ground, **rest):
-    return await open_link(ground.net, ("c1", 1), encode(pb.Hello(version=VERSION, role=pb.CLIENT, name="x", **rest)), 1.0)
+    return await open_link(ground.net, ("c1", 1), FrameReader(), encode(pb.Hello(version=VERSION, role=pb.CLIENT, name="x", **rest)), 1.0)
 
 
 @pytest.mark.parametrize("sent, goes", [
--- a/tests/test_frames.py
+++ b/tests/test_frames.py
@@ -99,7 +99,7 @@
         for piece in pieces:
             await near.send(piece)
         await near.aclose()
-        link, got = Link(far), []
+        link, got = Link(far, FrameReader()), []
         try:
             while True:
                 got += await link.receive_all()
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -12,13 +12,13 @@
 from linedeal.client.contact import Contact
 from linedeal import interface as api
 from linedeal.controller.hostlink import HostLink
-from linedeal.controller.inbox import Inbox
+from linedeal.loop.inbox import Inbox
 from linedeal.controller.runtime import Halted, Runtime, Setup
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
 from linedeal.net import Link, LinkLost, TcpNet
 from linedeal.processes import unwrap
-from linedeal.protocol import encode, frames, pb
+from linedeal.protocol import FrameReader, encode, frames, pb
 from linedeal.settings.cluster import parse_cluster
 from linedeal.standin.discovery import Discovery
 from linedeal.standin.host import HostServer
@@ -100,7 +100,7 @@
 async def play_host(cluster, name, script, boot=1):
     """A host that is played by `script(link, hello)` on each link."""
     async def handle(stream):
-        link = Link(stream)
+        link = Link(stream, FrameReader())
         try:
             hello = await link.receive()
             if hello.role == pb.CONTROLLER:
@@ -357,7 +357,7 @@
     await anyio.sleep(1.2)      # its link has been refused
 
     async def handle(stream):
-        link = Link(stream)
+        link = Link(stream, FrameReader())
         try:
             await link.receive()
             await link.send(encode(pb.Welcome(version=1, name="a", boot=2, age=0.1)))
