--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,357 @@
+"""The platform's route against scripted hosts, a scripted bus and owners on loopback."""
+
+import json
+import os
+import signal
+
+import anyio
+import pytest
+import structlog
+
+from linedeal.platform import config, hosts
+from linedeal.platform.hosts import Code, Type
+from tests.platform import SDP, Host, answer, file_of, ground, in_stock, late, parsed, release
+
+pytestmark = pytest.mark.anyio
+A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Kept:
+    """A log that keeps its lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def msg(self, text):
+        self.lines.append(text)
+
+    debug = info = warning = error = msg
+
+
+@pytest.fixture
+def kept():
+    return Kept()
+
+
+@pytest.fixture
+def log(kept):
+    return structlog.wrap_logger(kept, processors=[structlog.processors.KeyValueRenderer()])
+
+
+def silent(*kinds):
+    """Says nothing to frames of these types."""
+    async def script(host, stream, frame):
+        return frame.type in kinds
+    return script
+
+
+async def resets(host, stream, frame):
+    if frame.type == Type.SETUP:
+        await anyio.aclose_forcefully(stream)
+        return True
+
+
+def says(*data):
+    """Writes these to each set-up, with its task put in."""
+    async def script(host, stream, frame):
+        if frame.type == Type.SETUP:
+            for part in data:
+                await stream.send(part(frame.task) if callable(part) else part)
+            return True
+    return script
+
+
+async def test_a_job_has_its_whole_course(tmp_path, log):
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        owner, host = await g.client(), g.hosts["h1"]
+        await owner.send("ping", A, cause=0)
+        assert await owner.until("pong", A) == ("pong", A, 1, None)
+        await owner.setup(A)
+        assert (await owner.until("answer", A))[3] == SDP + "host\r\n"
+        frame, = host.sent(Type.SETUP)
+        assert (frame.task.hex(), frame.text(Code.OFFERING), frame.text(Code.KEY), frame.text(Code.DESCRIPTION)) == (
+            A, "web", "k", SDP)
+        assert 0 < int(frame.text(Code.WAIT)) <= 3000
+        for name, figure in (("live", ""), ("c", "0.25"), ("m", "1.5"), ("s", "nan"), ("zz", "1")):
+            await host.streams[0].send(hosts.encode(Type.NOTE, frame.task, hosts.parameter(Code.NAME, name.encode())
+                                                    + hosts.parameter(Code.FIGURE, figure.encode())))
+        track, = g.service.engine.module.hosts["h1"].jobs.values()
+        await g.within(2, lambda: (track.started, track.cores, track.memory) == (True, 0.25, 1.5))
+        await host.streams[0].send(release(frame.task, 16))
+        assert (await owner.until("release", A))[2] == 16
+        assert in_stock(g.service, "h1") == 0 and not g.service.route.tasks and not g.service.hosts["h1"].tasks_of
+
+
+async def test_an_end_reaches_its_owner_by_a_connection_that_serves(tmp_path, log):
+    # guards against releases that leave on the newest connection: a bad client passes nothing on
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        first, second, host = await g.client(), await g.client(), g.hosts["h1"]
+        await first.setup(A)
+        await first.until("answer", A)
+        await first.stream.aclose()
+        await g.within(2, lambda: len(g.service.owners.links) == 1)
+        bad = await g.client()
+        await bad.setup(C, offering="none")
+        await bad.until("release", C)
+        await host.streams[0].send(release(bytes.fromhex(A), 41, "ev"))
+        await g.within(2, lambda: g.service.owners.waiting)     # nothing serves yet
+        await second.setup(B)
+        await second.until("answer", B)
+        assert (await second.until("release", A))[2] == 41
+        assert [said[1] for said in bad.said] == [C]
+
+
+async def test_a_job_given_up_by_its_owner_is_given_up_at_the_host(tmp_path, log):
+    async with ground(tmp_path, log, {"h1": Host(silent(Type.SETUP))}) as g:
+        owner, host = await g.client(), g.hosts["h1"]
+        await owner.setup(A, "feed")
+        await g.within(2, lambda: host.sent(Type.SETUP))
+        await owner.send("release", A, cause=16)
+        await g.within(2, lambda: host.sent(Type.RELEASE))
+        assert host.sent(Type.RELEASE)[0].cause() == 16
+        await host.streams[0].send(answer(bytes.fromhex(A)))        # crossed it
+        await anyio.sleep(0.1)
+        assert not owner.said and in_stock(g.service, "h1") == 0 and not g.service.engine.launches
+
+
+async def test_a_standing_job_ended_by_its_owner_ends_at_the_host_and_nobody_is_told(tmp_path, log):
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        first, second = await g.client(), await g.client()
+        await first.setup(A)
+        await first.until("answer", A)
+        await second.send("release", A, cause=31)       # on any connection
+        await g.within(2, lambda: not g.hosts["h1"].standing and not g.service.route.tasks)
+        assert len(first.said) == 1 and not second.said and in_stock(g.service, "h1") == 0
+
+
+@pytest.mark.parametrize("offering,script,verdict,launches", [
+    ("feed", says(lambda task: release(task, 34, "nc")), "answer", 2),      # full: it never ran
+    ("feed", says(lambda task: release(task, 102)), "answer", 2),           # moot: it never left
+    ("feed", says(lambda task: release(task, 47)), 47, 1),
+    ("feed", says(lambda task: release(task, 41)), 47, 1),
+    ("feed", resets, 47, 1),
+    ("feed", says(b"\xff" * 40), 47, 1),
+    ("feed", says(lambda task: hosts.encode(Type.ANSWER, task)), 47, 1),    # no description
+    ("feed", silent(Type.SETUP), 47, 1),
+    ("web", resets, "answer", 2), ("web", says(b"\xff" * 40), "answer", 2),
+    ("web", says(lambda task: release(task, 47)), "answer", 2), ("web", silent(Type.SETUP), "answer", 2)])
+async def test_what_may_have_run_is_launched_again_only_where_that_does_no_harm(
+        tmp_path, log, offering, script, verdict, launches):
+    seen = []
+
+    async def once(host, stream, frame):
+        if frame.type == Type.SETUP:
+            seen.append(frame)
+            return len(seen) == 1 and await script(host, stream, frame)
+
+    async with ground(tmp_path, log, {"h1": Host(once), "h2": Host(once)}) as g:
+        owner = await g.client()
+        await owner.setup(A, offering)
+        if verdict == "answer":
+            await owner.until("answer", A, 4)
+        else:
+            assert (await owner.until("release", A, 4))[2] == verdict
+        await anyio.sleep(0.05)
+        assert len(seen) == launches and len(owner.said) == 1
+
+
+async def test_a_launch_that_is_given_up_is_given_up_at_the_host_too(tmp_path, log):
+    # guards against a launch that stays out for ever: no welcome will tell of it
+    async with ground(tmp_path, log, {"h1": Host(silent(Type.SETUP))}) as g:
+        owner, host = await g.client(), g.hosts["h1"]
+        await owner.setup(A, "feed", left="600")
+        assert (await owner.until("release", A))[2] == 47
+        await g.within(2, lambda: host.sent(Type.RELEASE) or not host.streams)
+        assert not g.service.engine.launches
+
+
+async def test_a_refused_connection_is_proof_that_nothing_ran(tmp_path, log):
+    gone = Host()
+    async with ground(tmp_path, log, {"h1": gone, "h2": Host()}) as g:
+        await gone.die()
+        owner = await g.client()
+        for number in range(8):
+            await owner.setup(f"{number:016x}", "feed")
+        for number in range(8):
+            await owner.until("answer", f"{number:016x}")
+        assert g.service.engine.counts["placed"] == 8
+
+
+async def test_copies_and_unknown_tasks_are_passed_over(tmp_path, log):
+    script = says(answer(bytes(8)), answer, answer)
+    async with ground(tmp_path, log, {"h1": Host(script)}) as g:
+        owner = await g.client()
+        for task in (A, B):
+            await owner.setup(task)
+            await owner.until("answer", task)
+        assert len(owner.said) == 2 and len(g.hosts["h1"].streams) == 1 and in_stock(g.service, "h1") == 2
+
+
+async def test_what_stands_goes_on_over_a_broken_connection(tmp_path, log):
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        owner, host = await g.client(), g.hosts["h1"]
+        await owner.setup(A)
+        await owner.until("answer", A)
+        before = host.streams[0]
+        await before.send(b"\xff" * 20)
+        await g.within(2, lambda: host.streams and host.streams[0] is not before)     # opened at once
+        await host.streams[0].send(release(bytes.fromhex(A), 16))
+        assert (await owner.until("release", A))[2] == 16
+
+
+async def test_what_stood_on_a_host_that_died_is_released(tmp_path, log):
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        owner = await g.client()
+        await owner.setup(A)
+        await owner.until("answer", A)
+        await g.hosts["h1"].die()
+        assert (await owner.until("release", A))[2] == 41
+        assert in_stock(g.service, "h1") == 0
+
+
+async def test_what_stood_before_a_host_started_anew_is_released(tmp_path, log):
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        owner = await g.client()
+        await owner.setup(A)
+        await owner.until("answer", A)
+        await anyio.sleep(0.1)
+        g.bus.tell(g.server("h1", started_ms=late(0.05)))
+        assert (await owner.until("release", A))[2] == 41
+
+
+async def test_hosts_drain_and_go(tmp_path, log):
+    async with ground(tmp_path, log) as g:
+        owner = await g.client()
+        g.bus.tell(g.server("h1", "DRAINING"))
+        await g.within(2, lambda: g.service.feed.number == 2)
+        for number in range(4):
+            await owner.setup(f"{number:016x}")
+            await owner.until("answer", f"{number:016x}")
+        assert not g.hosts["h1"].sent(Type.SETUP)
+        g.bus.tell(g.server("h2", "DELETED"))
+        for number in range(4):
+            assert (await owner.until("release", f"{number:016x}"))[2] == 41
+        await g.within(2, lambda: list(g.service.hosts) == ["h1"])
+
+
+async def test_jobs_handed_over_are_counted_and_told_of(tmp_path, log):
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        owner = await g.client()
+        await owner.setup(A, at="h1", left="4294967")
+        await owner.setup(A, at="h1", left="4294967")       # held already
+        await g.within(2, lambda: in_stock(g.service, "h1") == 1)
+        await owner.setup(B, at="nowhere")
+        assert (await owner.until("release", B))[2] == 41
+        await g.within(2, lambda: g.hosts["h1"].streams)        # kept up for what stands
+        await g.hosts["h1"].streams[0].send(release(bytes.fromhex(A), 16))
+        assert (await owner.until("release", A))[2] == 16 and len(owner.said) == 2
+
+
+BAD = [b"\x00\xff\n", b"{}\n", b"x" * 40000, b'{"type":"setup","id":"x"}\n', b'{"type":', b"",
+       b'{"type":"setup","id":"%s"}\n' % C.encode(), b'{"type":"what","id":"%s"}\n' % C.encode(),
+       b'{"type":"release","id":"%s","cause":16}\n' % C.encode(),
+       json.dumps({"type": "setup", "id": A, "sdp": "other", "fields": {
+           "class": "web", "tenant": "acme", "left": "100", "extras": "cores:1;memory:1;service:s"}}).encode() + b"\n"]
+
+
+@pytest.mark.parametrize("data", BAD, ids=range(len(BAD)))
+async def test_a_bad_client_has_a_word_in_time_and_nobody_else_notices(tmp_path, log, data):
+    async with ground(tmp_path, log, {"h1": Host(silent(Type.SETUP))}) as g:
+        owner = await g.client()
+        await owner.setup(A)
+        await g.within(2, lambda: g.hosts["h1"].sent(Type.SETUP))
+        bad = await g.client()
+        with anyio.move_on_after(0.5):
+            await bad.stream.send(data)
+        await g.within(3, lambda: bad.said or bad.closed.is_set())
+        assert all(said[0] == "release" and said[2] == 34 and said[1] == C for said in bad.said)
+        await g.hosts["h1"].streams[0].send(answer(bytes.fromhex(A)))
+        await owner.until("answer", A)
+        assert [frame.task.hex() for frame in g.hosts["h1"].sent(Type.SETUP)] == [A]
+
+
+async def test_a_flood_of_bad_messages_costs_the_connection(tmp_path, log):
+    async with ground(tmp_path, log) as g:
+        bad = await g.client()
+        for _ in range(30):
+            await bad.setup(C, "none")
+        await g.within(3, bad.closed.is_set)
+
+
+async def test_hundreds_of_silent_connections_keep_nobody_out(tmp_path, log):
+    # guards against the newest being let go, whose set-up is on its way
+    async with ground(tmp_path, log, sockets=64) as g:
+        crowd = [await g.client() for _ in range(32)]
+        await anyio.sleep(0.6)
+        for number in range(40):
+            owner = await g.client()
+            await owner.setup(f"{number:016x}")
+            await owner.until("answer", f"{number:016x}")
+        assert len(g.service.owners.links) <= 33 and all(client.closed.is_set() for client in crowd)
+
+
+async def test_the_bus_breaks_off_and_falls_silent(tmp_path, log):
+    async def spoil(bus, stream, number):
+        if number == 1 and len(bus.calls) < 3:
+            if len(bus.calls) == 1:
+                await stream.send(b'HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{"offset":2,"batch":[{"offset":2,')
+                await stream.aclose()
+            else:
+                await anyio.sleep(30)
+            return True
+
+    async with ground(tmp_path, log, spoil=spoil) as g:
+        g.bus.tell(g.server("h1", "DRAINING"))
+        await g.within(5, lambda: g.service.feed.number == 2)
+        assert g.bus.calls[:3] == [1, 1, 1]
+
+
+async def test_a_reload_moves_the_bus_and_keeps_the_number(tmp_path, log, kept):
+    async with ground(tmp_path, log) as g:
+        await g.within(2, lambda: g.bus.calls)
+        g.path.write_text('{"name": 3}')
+        os.kill(os.getpid(), signal.SIGHUP)
+        await g.within(2, lambda: any("refused" in line for line in kept.lines))
+        other = type(g.bus)()
+        await g.tasks.start(other.run)
+        other.events = list(g.bus.events)
+        other.tell(g.server("h1", "DRAINING"))
+        g.path.write_text(json.dumps(file_of(other.address, other.known())))
+        os.kill(os.getpid(), signal.SIGHUP)
+        await g.within(2, lambda: g.service.feed.number == 2)
+        assert other.calls[0] == 1
+
+
+async def test_a_service_told_to_end_answers_all_that_still_comes(tmp_path, log):
+    async with ground(tmp_path, log) as g:
+        owner = await g.client()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await anyio.sleep(0.4)
+        fresh = await g.client()
+        await fresh.setup(A)
+        await fresh.until("answer", A)
+        await owner.setup(B)
+        await owner.until("answer", B)
+        await g.within(2, owner.closed.is_set)
+        assert not g.service.engine.taken
+
+
+@pytest.mark.parametrize("change,said", [
+    ({"listen": "x"}, "listen: 'x'"), ({"bus": "1.2.3.4:99999"}, "bus:"), ({"seed": "zz"}, "seed:"),
+    ({"known": 3}, "known"), ({"limits": {"sockets": 3}}, "limits.sockets"), ({"settings": {}}, "settings: "),
+    ({"settings": {"permissions": []}}, "settings: ")])
+def test_a_faulty_configuration_is_one_line(change, said):
+    with pytest.raises(config.ConfigFault) as caught:
+        config.parse(json.dumps(file_of("1.2.3.4:5", {"offset": 0, "batch": []}) | change).encode(), "config.json")
+    assert said in str(caught.value) and "\n" not in str(caught.value) and str(caught.value).startswith("config.json: ")
+
+
+def test_a_missing_configuration_is_one_line(tmp_path):
+    with pytest.raises(config.ConfigFault, match="cannot be read"):
+        config.read(str(tmp_path / "none.json"))
+    assert parsed().cluster.limits.connect == pytest.approx(0.3)
