--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -74,6 +74,8 @@
 
     def relist(self, listed: on.ListedHost) -> None:
         """What a newer list says. Launches that still wait for a host that drains go back."""
+        if (listed.mode, listed.boot) != (self.listed.mode, self.listed.boot):
+            self.log.info("host changed", host=listed.id, mode=listed.mode.name, age=round(listed.age, 1))
         self.listed = listed
         if listed.mode is not Mode.SERVING:
             self.keep_back()
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -19,7 +19,7 @@
 from linedeal.platform.ownerlink import Owners
 from linedeal.platform.route import Route
 
-COMING = 0.9            # seconds after SIGTERM for which set-ups still come
+COMING = 0.8            # seconds after SIGTERM for which set-ups still come
 LEAVE_MOST = 3.4        # seconds after SIGTERM by which all is over
 OWNERS_SHARE = 0.5      # of the descriptors, for connections of owners
 TELL_EVERY = 10.0       # seconds between two lines that sum up
@@ -95,7 +95,8 @@
         while True:
             self.turn()
             now, due = anyio.current_time(), self.engine.next_due()
-            if now >= self.leaving_at + COMING and not self.engine.taken or now >= self.leaving_at + LEAVE_MOST:
+            # what stands goes on at its hosts; while it does, its ends are passed on for as long as may be
+            if now >= self.leaving_at + COMING and not self.route.tasks or now >= self.leaving_at + LEAVE_MOST:
                 await anyio.sleep(0.05)     # the last answers are on their way
                 self.log.info("ends", owed=len(self.engine.taken))
                 return
