Mark a host for errors once its job runs elsewhere, and none for a job that fails twice

Now the mark is set when the job is confirmed elsewhere; an irreversible job, which is launched no more, marks at once.

--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -83,7 +83,7 @@
     host: "Host" = None         # where its launch without an outcome is
     place: object = None        # ... and what counts it for the spread
     launches: int = 0
-    erred: tuple = None         # the host that first failed it, and that host's mark before
+    erred: "Host" = None        # the host that first failed it
     risk: tuple = None          # host and time of the first launch that may have run
     sent: float = 0.0
     answer_due: float = 0.0     # when a host that is well has answered
@@ -306,7 +306,7 @@
                 return None
             if track.ended:
                 return None
-            if ended is Result.ERROR and track.erred[0] is not host:
+            if ended is Result.ERROR and track.erred is not host:
                 break           # it fails wherever it runs
             if ended not in NEVER_RAN:
                 track.risk = track.risk or (host, track.sent)
@@ -352,7 +352,8 @@
     def choose(self, track):
         # hosts that answer an offering with errors; where all do, the fault is elsewhere and none is ill
         offers, name = [], (track.offering.name, track.job.customer)
-        ill = [host for host in self.hosts.values() if host.ill and host.ill.get(name, (0.0,))[0] > self.now]
+        ill = [host for host in self.hosts.values()
+               if host is track.erred or host.ill and host.ill.get(name, (0.0,))[0] > self.now]
         ill = ill if len(ill) < len(self.hosts) else ()
         self.usual_load()
         for host in self.hosts.values():
@@ -515,6 +516,8 @@
         track.host.fails = track.host.refusals = 0
         if track.host.ill:
             track.host.ill.pop((track.offering.name, track.job.customer), None)
+        if track.erred and track.erred is not track.host:   # it runs elsewhere, so that host was at fault
+            self.errs(track, track.erred)
         if not track.ended:
             self.step(track, None)
 
@@ -539,27 +542,26 @@
             if not track.confirmed and not host.programs.get(track.job.service):
                 host.programs.pop(track.job.service, None)
         elif result is Result.ERROR:
-            # guards against a host that fails one kind of job fast and so seems to have the most room;
-            # covers any fault bound to host and offering; harmful if it is over long before its mark. By
-            # customer: work that always fails, wherever it runs, would take the hosts from the others
-            name = track.offering.name, track.job.customer
-            count = host.ill.get(name, (0.0, 0))[1]
-            if track.erred and track.erred[0] is not host:  # wherever it runs: the first host is cleared of it
-                first, before = track.erred
-                first.ill[name] = before
-                self.room_made = True
-            else:
-                track.erred = host, host.ill.get(name, (0.0, 0))
-                until = self.marked(host, f"errs on {name[0]}", SILENT_MARK, ILL_MOST, count)
-                if len(host.ill) >= CROWD:      # guards against a new customer each time
-                    host.ill = {known: mark for known, mark in host.ill.items() if mark[0] > self.now}
-                host.ill[name] = (until, count + 1)
+            track.erred = track.erred or host
+            if track.offering.effect is Effect.IRREVERSIBLE:    # nothing more will be learned from it
+                self.errs(track, host)
         track.ended = track.ended or closed
         if track.ended or track.confirmed:
             self.forget(track)
         else:
             self.step(track, result)
 
+    def errs(self, track, host):
+        # guards against a host that fails one kind of job fast and so seems to have the most room;
+        # covers any fault bound to host and offering; harmful if it is over long before its mark. By
+        # customer: work that always fails, wherever it runs, would take the hosts from the others
+        name = track.offering.name, track.job.customer
+        count = host.ill.get(name, (0.0, 0))[1]
+        until = self.marked(host, f"errs on {name[0]}", SILENT_MARK, ILL_MOST, count)
+        if len(host.ill) >= CROWD:      # guards against a new customer each time
+            host.ill = {known: mark for known, mark in host.ill.items() if mark[0] > self.now}
+        host.ill[name] = (until, count + 1)
+
     def silent(self, host):
         if host.silent_until > self.now:
             return
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -269,3 +269,37 @@
 def test_a_fenced_life_halts():
     d = Drive()
     assert d.only(do.Halt, d.turn(1.0, on.Fenced("a", "life 9 is known")))
+
+
+def erred(d, sent, now):
+    return d.only(do.SendLaunch, d.said(on.Over, sent, now, Result.ERROR, Why.UNTOLD))
+
+
+def test_a_job_that_errs_on_two_hosts_is_at_fault_itself():
+    # guards against bad work that marks host after host for its customer's sound jobs
+    d = Drive("abc")
+    first = d.launched(1.0)
+    second, = erred(d, first, 1.1)
+    assert second.host != first.host
+    d.turn(1.1, on.Left(second.host, 1, (second.number,)))
+    effects = d.said(on.Over, second, 1.2, Result.ERROR, Why.UNTOLD)
+    assert d.verdicts(effects) == ["rejected"] and not d.only(do.SendLaunch, effects)
+    assert not any(host.ill for host in d.engine.module.hosts.values())
+
+
+def test_a_host_is_marked_once_its_error_is_seen_to_be_its_own():
+    d = Drive("ab")
+    first = d.launched(1.0)
+    second, = erred(d, first, 1.1)
+    d.turn(1.1, on.Left(second.host, 1, (second.number,)))
+    assert not d.engine.module.hosts[first.host].ill
+    d.said(on.Accepted, second, 1.2)
+    assert d.engine.module.hosts[first.host].ill
+    assert {d.launched(1.3, key=f"k{number}").host for number in range(3)} == {second.host}
+
+
+def test_an_irreversible_job_marks_its_host_at_once():
+    d = Drive("ab")
+    sent = d.launched(1.0, "feed")
+    assert d.verdicts(d.said(on.Over, sent, 1.1, Result.ERROR, Why.UNTOLD)) == ["written off"]
+    assert d.engine.module.hosts[sent.host].ill
