--- a/linedeal/platform/__main__.py
+++ b/linedeal/platform/__main__.py
@@ -5,9 +5,9 @@
 
 import anyio
 
-from linedeal import logs
 from linedeal.net import TcpNet
 from linedeal.platform import config
+from linedeal.platform.log import Log
 from linedeal.platform.service import Service
 
 
@@ -21,7 +21,7 @@
     except config.ConfigFault as error:
         print(f"linedeal: {error}", file=sys.stderr)
         return 2
-    service = Service(setup, path, TcpNet(), logs.setup(as_json=True, verbose=bool(os.environ.get("LINEDEAL_DEBUG"))))
+    service = Service(setup, path, TcpNet(), Log(bool(os.environ.get("LINEDEAL_DEBUG"))))
     ended = 0
     try:
         anyio.run(service.run, backend_options={"use_uvloop": True})
