Hold up to eight connections to a host, by the descriptors there are

Seen on garble+fleet: 'a frame of 65523 bytes' cut four launches that shared one connection, since three a host were the most (hostlink.py, CONNECTIONS). The bus is given up on 2.4 s after a call instead of 2.6 s.

--- a/linedeal/platform/bus.py
+++ b/linedeal/platform/bus.py
@@ -15,7 +15,7 @@
 from linedeal.wiresettings import MODES
 
 HOLD = 2.0              # seconds that the bus may hold a call without news
-SILENT = 0.6            # ... and how much longer its answer may take to be whole
+SILENT = 0.4            # ... and how much longer its answer may take to be whole
 CONNECT = 1.0           # seconds for its connection to stand
 PAUSE, PAUSE_MOST = 0.1, 1.0    # seconds between calls that fail, first and at most
 BODY_MOST = 4 << 20     # bytes of one answer
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -3,6 +3,7 @@
 """
 
 from collections import deque
+from typing import Callable
 
 import anyio
 
@@ -18,7 +19,6 @@
 from linedeal.wiresettings import NOTES, REASONS
 
 LIFE = 1                # a start knows of no earlier one
-CONNECTIONS = 3         # to one host, so that one spoilt answer costs few others their connection
 QUEUE = 512             # messages that wait for one host
 LOOK = 0.25             # seconds between two looks at a connection
 UNFINISHED = 1.0        # seconds for which a frame may stay unfinished
@@ -56,9 +56,10 @@
     """One host over the life of a controller. The sync methods are for the loop that carries out effects."""
 
     def __init__(self, listed: on.ListedHost, net: Net, limits: Limits, idle: float, report_names: dict[str, str],
-                 inbox: Inbox, next_number, log):
+                 most: Callable[[], int], inbox: Inbox, next_number, log):
+        """`most`: connections to one host at this time. More than one, so that a spoilt answer costs few others theirs."""
         self.listed, self.net, self.limits, self.inbox, self.log = listed, net, limits, inbox, log
-        self.idle, self.report_names, self.next_number = idle, report_names, next_number
+        self.idle, self.report_names, self.most, self.next_number = idle, report_names, most, next_number
         self.outbox: deque = deque()
         self.connections: list[Connection] = []
         self.tasks_of: dict[int, bytes] = {}            # launches that are out or stand
@@ -172,7 +173,7 @@
     def dispatch(self) -> bool:
         """Hands what waits to connections; true where one more connection is wanted first."""
         now = anyio.current_time()
-        may_open = len(self.connections) < CONNECTIONS and now >= self.shut_until
+        may_open = len(self.connections) < self.most() and now >= self.shut_until
         while self.outbox:
             best, effect = self.best(), self.outbox[0]
             launch = isinstance(effect, do.SendLaunch)
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -22,6 +22,8 @@
 COMING = 0.8            # seconds after SIGTERM for which set-ups still come
 LEAVE_MOST = 3.4        # seconds after SIGTERM by which all is over
 OWNERS_SHARE = 0.5      # of the descriptors, for connections of owners
+HOSTS_SHARE = 0.35      # ... and for connections to hosts
+ONE_HOST = 8            # connections to one host, where there are few
 TELL_EVERY = 10.0       # seconds between two lines that sum up
 NOTES_MOST = 20         # lines of one kind between two of those
 
@@ -140,10 +142,14 @@
         if link is None:
             setup = self.setup
             link = self.hosts[listed.id] = HostLink(listed, self.net, setup.cluster.limits, setup.idle,
-                                                    setup.report_names, self.inbox, self.next_number, self.log)
+                                                    setup.report_names, self.connections, self.inbox, self.next_number, self.log)
             self.tasks.start_soon(link.run)
         link.relist(listed)
 
+    def connections(self) -> int:
+        """To one host, now."""
+        return max(1, min(ONE_HOST, int(self.setup.sockets * HOSTS_SHARE) // max(1, len(self.hosts))))
+
     async def tell(self) -> None:
         while True:
             await anyio.sleep(TELL_EVERY)
