Send at once on connections that stand, and open spare ones beside

Guess tried: launches held up while a further connection opens reach the host in one moment and are refused (nq).

--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -67,6 +67,7 @@
         self.stops: dict[bytes, None] = {}              # standing jobs to be ended there, until it says so
         self.wake = anyio.Event()
         self.scope = anyio.CancelScope()
+        self.opening = False
         self.heard_at = 0.0
         self.shut_until = 0.0           # no further connection before, others serve
         self.refusals = 0
@@ -163,28 +164,31 @@
                 while True:
                     await self.wake.wait()
                     self.wake = anyio.Event()
-                    while self.dispatch():
-                        await self.open()
+                    if self.dispatch() and not self.opening:
+                        self.opening = True
+                        self.tasks.start_soon(self.open)
 
     def best(self) -> Connection | None:
         return min((c for c in self.connections if not c.shut), key=lambda c: len(c.out),
                    default=self.connections[0] if self.connections else None)
 
     def dispatch(self) -> bool:
-        """Hands what waits to connections; true where one more connection is wanted first."""
-        now = anyio.current_time()
-        may_open = len(self.connections) < self.most() and now >= self.shut_until
+        """Hands what waits to connections; true where one more is wanted. Nothing waits for that where others serve:
+        launches held up meanwhile would all reach the host in one moment, and be refused there."""
+        now, wanted = anyio.current_time(), False
         while self.outbox:
             best, effect = self.best(), self.outbox[0]
             launch = isinstance(effect, do.SendLaunch)
-            if best is None or may_open and (best.shut or launch and best.out):
-                return True
+            if best is None or launch and best.shut:
+                return best is None or len(self.connections) < self.most()
             self.outbox.popleft()
             if launch:
+                wanted = wanted or bool(best.out)
                 best.out[effect.work[:8]] = effect.number
                 best.unsent.add(effect.number)
             best.queue(effect)
-        return bool(self.standing) and not self.connections and now >= self.shut_until
+        wanted = wanted or bool(self.standing) and not self.connections
+        return wanted and len(self.connections) < self.most() and now >= self.shut_until
 
     async def open(self) -> None:
         stream, refused = None, False
@@ -197,6 +201,8 @@
             why = str(error)
         except LOST as error:
             why, refused = reason(error), isinstance(error.__cause__ or error, ConnectionRefusedError)
+        self.opening = False
+        self.wake.set()
         if stream is None:
             await self.not_opened(why, refused)
             return
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -23,7 +23,7 @@
 LEAVE_MOST = 3.4        # seconds after SIGTERM by which all is over
 OWNERS_SHARE = 0.5      # of the descriptors, for connections of owners
 HOSTS_SHARE = 0.35      # ... and for connections to hosts
-ONE_HOST = 8            # connections to one host, where there are few
+ONE_HOST = 4            # connections to one host, where there are few
 TELL_EVERY = 10.0       # seconds between two lines that sum up
 NOTES_MOST = 20         # lines of one kind between two of those
 
