--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -262,8 +262,7 @@
                 self.taken_back(on.TakenBack(event.client, taken.key))
         self.sessions.left(event.client)
 
-    def answer(self, job_id: str, verdict: do.Verdict, host: str = "", launch: on.LaunchId | None = None,
-               said: str = "") -> None:
+    def answer(self, job_id: str, verdict: do.Verdict, host: str = "", launch: on.LaunchId | None = None) -> None:
         """The one way in which a job is answered: it is owed nothing from then on."""
         taken = self.disown(job_id)
         if taken is None:
@@ -272,6 +271,7 @@
         entry = self.sessions.ledger.by_job.get(job_id)
         if entry is not None:
             self.sessions.answered(entry, verdict.value, host, launch, "")
+        said = self.launches[launch].said if launch in self.launches else ""
         self.out.append(do.Answer(taken.client, taken.key, job_id, verdict, host, entry is not None, launch,
                                   entry.reason if entry else "", said))
         if entry is not None:
@@ -356,7 +356,7 @@
                 self.counts["proven not run"] += 1
             self.ended(launch, result, why)
 
-    def said_yes(self, launch: Launch, said: str = "") -> None:
+    def said_yes(self, launch: Launch) -> None:
         if launch.state is State.STRAY:
             self.late_yes(launch)
             return
@@ -365,7 +365,7 @@
         launch.state = State.HELD
         self.tell(api.Confirmed(launch.job.id, launch.id.number, launch.host))
         if launch.job.id in self.taken:
-            self.answer(launch.job.id, do.Verdict.PLACED, launch.host, launch.id, said)
+            self.answer(launch.job.id, do.Verdict.PLACED, launch.host, launch.id)
         elif not launch.wanted:
             self.stop(launch)   # taken back while the yes was on its way
 
@@ -394,7 +394,8 @@
         if launch is None:
             self.out.append(do.SendStop(event.host, event.launch))  # nobody waits for it, nobody counts it
         elif not self.cluster.settings.starts_confirmed:
-            self.said_yes(launch, event.said)
+            launch.said = event.said
+            self.said_yes(launch)
 
     def started(self, event: on.Started) -> None:
         launch = self.find(event.host, event.launch)
--- a/linedeal/engine/launches.py
+++ b/linedeal/engine/launches.py
@@ -32,6 +32,7 @@
     unsend: bool = False        # the link was asked to keep it back
     sent: float = 0.0           # when it was decided on
     ran: Ran | None = None      # what its host said at its end
+    said: str = ""              # what its host gave with its yes
 
 
 @dataclass(frozen=True, slots=True)
