End a connection alone for a fault it brings out; give a word to who takes all back

Guarded besides: an accept that fails ended the listener and all it had taken (net/tcp.py, serve); an unforeseen fault in one connection ended the process. An address in use was told as an exception group (platform/__main__.py).

--- a/linedeal/net/tcp.py
+++ b/linedeal/net/tcp.py
@@ -10,6 +10,7 @@
 
 # guards against a peer that is gone without a word: its link would stand, and count, for ever. Seconds of silence
 # before the system asks, between two asks, and how many go unanswered; a peer that is only slow answers them
+ACCEPT_AGAIN = 0.05     # seconds after a connection that could not be taken
 KEEP_ALIVE = {"TCP_KEEPIDLE": 60, "TCP_KEEPINTVL": 20, "TCP_KEEPCNT": 3, "TCP_USER_TIMEOUT": 120_000}
 
 
@@ -36,11 +37,17 @@
             listener = await anyio.create_tcp_listener(local_host=address[0], local_port=address[1])
         except OSError as error:
             raise OSError(error.errno, error.strerror, f"{address[0]}:{address[1]}") from None
-        async with listener:
+        async with listener, anyio.create_task_group() as tasks:
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             task_status.started((address[0], port))
 
             async def kept_alive(stream):
                 await handle(keep_alive(stream))
 
-            await listener.serve(kept_alive)
+            while True:
+                try:
+                    await listener.serve(kept_alive, tasks)
+                except* OSError:
+                    # guards against one connection that could not be taken, by its own fault or for want of
+                    # descriptors, which would end the listener and all that it has taken
+                    await anyio.sleep(ACCEPT_AGAIN)
--- a/linedeal/platform/__main__.py
+++ b/linedeal/platform/__main__.py
@@ -26,7 +26,10 @@
     try:
         anyio.run(service.run, backend_options={"use_uvloop": True})
     except* OSError as group:
-        print(f"linedeal: {group.exceptions[0]}", file=sys.stderr)
+        error = group
+        while isinstance(error, BaseExceptionGroup):
+            error = error.exceptions[0]
+        print(f"linedeal: {error}", file=sys.stderr)
         ended = 1
     return ended
 
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -2,6 +2,7 @@
 that line. A standing job belongs to no connection, so one is kept up while any stands there.
 """
 
+import traceback
 from collections import deque
 from typing import Callable
 
@@ -238,6 +239,9 @@
             await until_lost(self.write(connection), self.read(connection), self.mind(connection))
         except LinkLost as error:
             why = str(error)
+        except Exception as error:      # a fault of ours that one host's bytes bring out ends that connection alone
+            why = type(error).__name__
+            self.log.error("fault", where=self.listed.id, trace=traceback.format_exc())
         finally:
             self.connections.remove(connection)
             await connection.link.close()
--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -1,5 +1,6 @@
 """The connections of owners: read, answered, bounded. What they mean is the route's to say."""
 
+import traceback
 from collections import deque
 
 import anyio
@@ -94,6 +95,9 @@
             await work(owner)
         except LinkLost as error:
             owner.let_go(str(error))
+        except Exception as error:      # a fault of ours that one owner's bytes bring out ends that connection alone
+            self.log.error("fault", where="owner", trace=traceback.format_exc())
+            owner.let_go(type(error).__name__)
 
     def shed(self) -> None:
         """Guards against connections that use up the descriptors. Those go first that have had time to speak and have
@@ -145,8 +149,9 @@
             now = anyio.current_time()
             for owner in list(self.links.values()):
                 owner.unfinished_at = (owner.unfinished_at or now) if owner.link.reader.rest else 0.0
-                if not owner.usual and now - owner.began > FIRST_WORD:
-                    owner.let_go("it says nothing of use")
+                idle = not owner.served and owner.number not in self.route.open
+                if not owner.usual and now - owner.began > FIRST_WORD or idle and now - owner.heard_at > FIRST_WORD:
+                    owner.let_go("it says nothing of use")      # or takes back all that it asked for, and waits
                 elif owner.unfinished_at and now - owner.unfinished_at > FIRST_WORD:
                     owner.let_go("a line that does not end")
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,9 @@
 import json
 import os
 import signal
+import socket
+import subprocess
+import sys
 
 import anyio
 import pytest
@@ -274,6 +277,17 @@
         await g.within(3, bad.closed.is_set)
 
 
+async def test_who_takes_everything_back_has_a_word_all_the_same(tmp_path, log):
+    async with ground(tmp_path, log, {"h1": Host(silent(Type.SETUP))}) as g:
+        bad = await g.client()
+        for number in range(100):
+            await bad.setup(f"{number:016x}")
+        for number in range(100):
+            await bad.send("release", f"{number:016x}", cause=16)
+        await g.within(3, lambda: bad.said or bad.closed.is_set())
+        assert not g.service.route.tasks and not g.service.engine.taken and not g.service.hosts["h1"].tasks_of
+
+
 async def test_hundreds_of_silent_connections_keep_nobody_out(tmp_path, log):
     # guards against the newest being let go, whose set-up is on its way
     async with ground(tmp_path, log, sockets=64) as g:
@@ -351,3 +365,55 @@
     with pytest.raises(config.ConfigFault, match="cannot be read"):
         config.read(str(tmp_path / "none.json"))
     assert parsed().cluster.limits.connect == pytest.approx(0.3)
+
+
+async def test_a_fault_that_one_connection_brings_out_ends_that_connection_alone(tmp_path, log, kept):
+    async with ground(tmp_path, log) as g:
+        heard = g.service.route.heard
+        g.service.route.heard = lambda client, line: 1 / 0 if line.id == C else heard(client, line)
+        owner, bad = await g.client(), await g.client()
+        await bad.setup(C)
+        await g.within(2, bad.closed.is_set)
+        await owner.setup(A)
+        await owner.until("answer", A)
+        assert "ZeroDivisionError" in kept.getvalue()
+
+
+async def test_a_connection_that_cannot_be_taken_ends_neither_listener_nor_others(tmp_path, log, monkeypatch):
+    async with ground(tmp_path, log) as g:
+        owner = await g.client()
+        await owner.setup(A)
+        await owner.until("answer", A)
+        listener = anyio._backends._asyncio.TCPSocketListener
+        accept, failed = listener.accept, []
+
+        async def fails_once(self):
+            stream = await accept(self)
+            if not failed:
+                failed.append(stream)
+                raise OSError(24, "too many open files")
+            return stream
+
+        monkeypatch.setattr(listener, "accept", fails_once)
+        for _ in range(3):      # the accept that is under way was begun before
+            fresh = await g.client()
+            await anyio.sleep(0.1)
+        await fresh.setup(B)
+        await fresh.until("answer", B)
+        assert failed and not owner.closed.is_set()
+
+
+def started(path, **rest):
+    path.write_text(json.dumps(file_of("127.0.0.1:9", {"offset": 0, "batch": []}) | rest))
+    return subprocess.run([sys.executable, "-m", "linedeal.platform"], env=os.environ | {"EDGE_CONFIG": str(path)},
+                          capture_output=True, text=True, timeout=20)
+
+
+def test_a_start_that_cannot_be_is_one_line_and_a_code(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = "127.0.0.1:%d" % taken.getsockname()[1]
+        ended = started(tmp_path / "config.json", listen=address)
+        said = [line for line in ended.stderr.splitlines() if line.startswith("linedeal: ")]
+        assert ended.returncode == 1 and len(said) == 1 and address in said[0] and "Traceback" not in ended.stderr
+    ended = started(tmp_path / "config.json", seed="no")
+    assert ended.returncode == 2 and len(ended.stderr.splitlines()) == 1 and ": seed: " in ended.stderr
