--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -288,7 +288,7 @@
         self.numbers += 1
         launch = Launch(on.LaunchId(self.life, self.numbers), taken.job,
                         self.cluster.settings.offerings[taken.job.offering].effect, host, self.now + wait,
-                        kept=bool(taken.session), sent=self.now)
+                        kept=bool(taken.session), sent=self.now, provable=self.accounts_given)
         self.launches[launch.id] = self.by_job[job_id] = launch
         record.launches[launch.id] = launch
         self.counts["launches"] += 1
@@ -579,7 +579,7 @@
         self.kept_back(event.unsent, Result.UNREACHABLE)
         if event.link:
             for launch in list(record.launches.values()):
-                result = launches.cut(launch, self.accounts_given) if launch.left == event.link else None
+                result = launches.cut(launch) if launch.left == event.link else None
                 if result:
                     self.give_up(launch, result)
         self.lose_gone()
--- a/linedeal/engine/launches.py
+++ b/linedeal/engine/launches.py
@@ -32,6 +32,7 @@
     unsend: bool = False        # the link was asked to keep it back
     sent: float = 0.0           # when it was decided on
     ran: Ran | None = None      # what its host said at its end
+    provable: bool = True       # its host will give an account of what it holds
     said: str = ""              # what its host gave with its yes
 
 
@@ -44,14 +45,14 @@
     why: Why = Why.UNTOLD
 
 
-def cut(launch: Launch, provable: bool = True) -> Result | None:
+def cut(launch: Launch) -> Result | None:
     """The link broke after the frame began to leave. None: it is worth waiting for what a new link shows.
 
     A job that is held runs on without the link. An irreversible one could only be written off; until its time is
     up the host may return and prove that it never ran, where hosts give accounts of what they hold (`provable`). Any
     other is launched again at once, which is harmless.
     """
-    if launch.state is not State.OUT or launch.effect is Effect.IRREVERSIBLE and provable:
+    if launch.state is not State.OUT or launch.effect is Effect.IRREVERSIBLE and launch.provable:
         return None
     return Result.CUT
 
