--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -11,7 +11,8 @@
 import anyio
 import pytest
 
-from linedeal.platform import config, hosts
+from linedeal.net import TcpNet
+from linedeal.platform import config, hostlink, hosts
 from linedeal.platform.hosts import Code, Type
 from linedeal.platform.log import Log
 from tests.platform import SDP, Host, answer, file_of, ground, in_stock, late, parsed, release
@@ -206,6 +207,30 @@
         assert in_stock(g.service, "h1") == 0
 
 
+async def test_what_stood_on_a_machine_that_vanished_is_released(tmp_path, log, monkeypatch):
+    # guards against waiting for ever: its connection stays open and silent, and no new one comes up
+    for name, seconds in (("LOST_AFTER", 1.0), ("SILENT", 0.3), ("QUIET", 0.3)):
+        monkeypatch.setattr(hostlink, name, seconds)
+    vanished = []
+
+    async def script(host, stream, frame):
+        return bool(vanished)
+
+    async with ground(tmp_path, log, {"h1": Host(script)}) as g:
+        owner, connect = await g.client(), TcpNet.connect
+        await owner.setup(A)
+        await owner.until("answer", A)
+        vanished.append(True)
+
+        async def hangs(self, address):
+            if address[1] == g.hosts["h1"].port:
+                await anyio.sleep(30)
+            return await connect(self, address)
+
+        monkeypatch.setattr(TcpNet, "connect", hangs)
+        assert (await owner.until("release", A, 5))[2] == 41
+
+
 async def test_what_stood_before_a_host_started_anew_is_released(tmp_path, log):
     async with ground(tmp_path, log, {"h1": Host()}) as g:
         owner = await g.client()
