Read the platform route once more: one way to hand launches back, dead state gone

No change of behaviour. keep_back, gather and a full outbox hand launches back by one piece (hostlink.py, hand_back); a job of a set-up and one handed over are made by one (engine.py, job_of); a stream is closed by one (net/base.py, close_stream). Gone: Connection.heard_at, which nothing read; a cause that could not be sent; four checks of a line's fault, now one. Causes have names; why an owner was let go is logged at debug again; imports in order.

--- a/linedeal/controller/front.py
+++ b/linedeal/controller/front.py
@@ -8,9 +8,9 @@
 import anyio
 
 from linedeal.controller import owners, translate
-from linedeal.loop.inbox import Inbox
 from linedeal.engine import events as on
 from linedeal.engine.admission import Shares
+from linedeal.loop import Inbox
 from linedeal.net import Address, Link, LinkLost, Net, until_lost
 from linedeal.protocol import VERSION, FrameReader, encode, pb
 from linedeal.settings.records import Cluster
--- a/linedeal/controller/hostlink.py
+++ b/linedeal/controller/hostlink.py
@@ -8,10 +8,10 @@
 import anyio
 
 from linedeal.controller import translate
-from linedeal.loop.inbox import Inbox
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
 from linedeal.interface import Mode
+from linedeal.loop import Inbox
 from linedeal.net import Address, Link, LinkLost, Net, open_link, parse_address, until_lost
 from linedeal.protocol import VERSION, FrameReader, encode, pb
 from linedeal.settings.records import Limits
--- a/linedeal/controller/watch.py
+++ b/linedeal/controller/watch.py
@@ -3,8 +3,8 @@
 import anyio
 
 from linedeal.controller import translate
-from linedeal.loop.inbox import Inbox
 from linedeal.engine import events as on
+from linedeal.loop import Inbox
 from linedeal.net import Address, Link, LinkLost, Net, open_link, until_lost
 from linedeal.protocol import VERSION, FrameReader, encode, pb
 from linedeal.settings.records import Limits
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -175,11 +175,9 @@
             retry_after = self.cluster.limits.retry_after if offering else 0.0
             self.out.append(do.TurnAway(event.client, event.key, reason, retry_after))
             return
-        self.jobs += 1
         promise = recovery.promise(offering)
         wait = min(event.wait or offering.expiry, offering.expiry)
-        job = api.Job(f"{self.name}.{self.life}.{self.jobs}", event.offering, event.customer, event.service,
-                      event.cores, event.memory, self.now + wait)
+        job = self.job_of(event, self.now + wait)
         self.own(Taken(event.client, event.key, job, event.session, event.work, wait))
         self.counts["taken"] += 1
         self.out.append(do.Take(event.client, event.key, job.id, event.session, job if event.session else None, wait,
@@ -191,6 +189,11 @@
                 return
         self.tell(api.JobArrived(job))
 
+    def job_of(self, event: on.Submitted | on.Standing, expiry: float) -> api.Job:
+        self.jobs += 1
+        return api.Job(f"{self.name}.{self.life}.{self.jobs}", event.offering, event.customer, event.service,
+                       event.cores, event.memory, expiry)
+
     def own(self, taken: Taken) -> None:
         if taken.job.id not in self.taken:
             self.holds.add(taken.job.customer, 1)
@@ -444,9 +447,7 @@
     # -- what stands without having been launched in this life, where hosts give no account
 
     def standing(self, event: on.Standing) -> None:
-        self.jobs += 1
-        job = api.Job(f"{self.name}.{self.life}.{self.jobs}", event.offering, event.customer, event.service,
-                      event.cores, event.memory, self.now)
+        job = self.job_of(event, self.now)
         record = self.fleet.hosts.get(event.host)
         self.numbers += 1
         launch = Launch(on.LaunchId(self.life, self.numbers), job,
--- a/linedeal/net/base.py
+++ b/linedeal/net/base.py
@@ -103,8 +103,12 @@
             raise LinkLost(reason(error)) from None
 
     async def close(self) -> None:
-        with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
-            await anyio.aclose_forcefully(self.stream)
+        await close_stream(self.stream)
+
+
+async def close_stream(stream: Stream) -> None:
+    with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
+        await anyio.aclose_forcefully(stream)
 
 
 async def open_link(net: Net, address: Address, reader: Reader, hello: bytes, within: float) -> tuple[Link, object]:
--- a/linedeal/net/tcp.py
+++ b/linedeal/net/tcp.py
@@ -8,9 +8,9 @@
 from linedeal.net.base import Address
 
 
+ACCEPT_AGAIN = 0.05     # seconds after a connection that could not be taken
 # guards against a peer that is gone without a word: its link would stand, and count, for ever. Seconds of silence
 # before the system asks, between two asks, and how many go unanswered; a peer that is only slow answers them
-ACCEPT_AGAIN = 0.05     # seconds after a connection that could not be taken
 KEEP_ALIVE = {"TCP_KEEPIDLE": 60, "TCP_KEEPINTVL": 20, "TCP_KEEPCNT": 3, "TCP_USER_TIMEOUT": 120_000}
 
 
--- a/linedeal/platform/bus.py
+++ b/linedeal/platform/bus.py
@@ -11,7 +11,7 @@
 from linedeal.engine import events as on
 from linedeal.loop import Inbox
 from linedeal.net import Address, LinkLost, Net
-from linedeal.net.base import LOST, reason
+from linedeal.net.base import LOST, close_stream, reason
 from linedeal.wiresettings import MODES
 
 HOLD = 2.0              # seconds that the bus may hold a call without news
@@ -146,8 +146,7 @@
             raise LinkLost(reason(error)) from None
         finally:
             if stream is not None:
-                with anyio.CancelScope(shield=True), anyio.move_on_after(1.0):
-                    await anyio.aclose_forcefully(stream)
+                await close_stream(stream)
 
     async def call(self, stream, http: h11.Connection) -> bytes:
         host = f"{self.address[0]}:{self.address[1]}"
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -32,7 +32,7 @@
 IDLE_SHARE = 0.6        # of the idle time after which hosts close, after which we do
 WHY = dict(zip(("nc", "nm", "nq", "nh", "ev", "pre", "dr"), (REASONS[number] for number in range(1, 8))))
 NOTE_NAMES = dict(zip(("live", "c", "m", "s", "p"), (NOTES[number] for number in range(1, 6))))
-ENDS = {16: Result.DONE, 31: Result.STOPPED, 47: Result.ERROR}
+ENDS = {owners.GIVEN_UP: Result.DONE, owners.ENDED_OTHERWISE: Result.STOPPED, owners.FAILED: Result.ERROR}
 
 
 class Connection:
@@ -43,7 +43,7 @@
         self.out: dict[bytes, int] = {}         # launches without an answer, by task
         self.unsent: set[int] = set()           # ... of which nothing has been written yet
         self.probes: dict[bytes, int] = {}
-        self.heard_at = self.used_at = now
+        self.used_at = now
         self.asked_at = 0.0                     # the first set-up or test since it was last heard; 0: none
         self.unfinished_at = 0.0
         self.shut = False                       # takes no launch any more
@@ -85,7 +85,7 @@
 
     def launch(self, effect: do.SendLaunch) -> None:
         if len(self.outbox) >= QUEUE:
-            self.inbox.put(on.Unsent(self.listed.id, (effect.number,)))
+            self.hand_back([effect])
             return
         self.tasks_of[effect.number] = effect.work[:8]
         self.queue(effect)
@@ -114,15 +114,18 @@
             if mine:
                 holder.outbox = deque(effect for effect in holder.outbox if not meant(effect))
                 back += mine
-        for connection in self.connections:
-            for effect in back:
+        self.hand_back(back)
+
+    def hand_back(self, launches: list[do.SendLaunch]) -> None:
+        """Of these nothing was written, and nothing will be."""
+        for effect in launches:
+            self.tasks_of.pop(effect.number, None)
+            for connection in self.connections:
                 if effect.number in connection.unsent:
                     connection.unsent.discard(effect.number)
                     del connection.out[effect.work[:8]]
-        for effect in back:
-            self.tasks_of.pop(effect.number, None)
-        if back:
-            self.inbox.put(on.Unsent(self.listed.id, tuple(effect.number for effect in back)))
+        if launches:
+            self.inbox.put(on.Unsent(self.listed.id, tuple(effect.number for effect in launches)))
 
     def stop(self, effect: do.SendStop) -> None:
         """Gives a launch up, or ends what stands."""
@@ -278,7 +281,7 @@
                 asks = True
             elif effect.boot != self.listed.boot or self.listed.mode is not Mode.SERVING or effect.due <= now:
                 # what it was decided on holds no more: a host that started again is cold, one that drains takes nothing
-                self.take_out(connection, effect)
+                self.hand_back([effect])
             else:
                 connection.unsent.discard(effect.number)
                 numbers.append(effect.number)
@@ -291,16 +294,10 @@
             connection.asked_at = now
         return bytes(data)
 
-    def take_out(self, connection: Connection, effect: do.SendLaunch) -> None:
-        connection.unsent.discard(effect.number)
-        connection.out.pop(effect.work[:8], None)
-        self.tasks_of.pop(effect.number, None)
-        self.inbox.put(on.Unsent(self.listed.id, (effect.number,)))
-
     async def read(self, connection: Connection) -> None:
         while True:
             frames = await connection.link.receive_all()
-            now = connection.heard_at = connection.used_at = self.heard_at = anyio.current_time()
+            now = connection.used_at = self.heard_at = anyio.current_time()
             connection.asked_at = 0.0
             connection.unfinished_at = now if connection.link.reader.rest else 0.0
             events, fault = [], None
@@ -379,7 +376,7 @@
             launch = on.LaunchId(LIFE, number)
             if cause == owners.REFUSED:
                 return on.Refused(host, launch, why)
-            if cause == 102:
+            if cause == owners.NEVER_LEFT:
                 return on.Unsent(host, (number,))
             return on.Over(host, launch, Result.ERROR if cause == owners.FAILED else Result.CUT, why)
         number = self.standing.pop(task, None)
--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -89,6 +89,7 @@
             del self.links[owner.number]
             await owner.link.close()
             self.inbox.put(self.route.client_left(owner.number))
+            self.log.debug("owner let go", reason=owner.why)
 
     async def until_lost(self, owner: OwnerLink, work) -> None:
         try:
--- a/linedeal/platform/owners.py
+++ b/linedeal/platform/owners.py
@@ -16,7 +16,7 @@
 FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 NAME = re.compile(r"[!-~]{1,%d}" % NAME_MOST)
 
-GIVEN_UP, CUT, REFUSED, ENDED_OTHERWISE, FAILED = 16, 41, 34, 31, 47     # causes
+GIVEN_UP, CUT, REFUSED, ENDED_OTHERWISE, FAILED, NEVER_LEFT = 16, 41, 34, 31, 47, 102     # causes
 
 
 class Line(msgspec.Struct):
--- a/linedeal/platform/route.py
+++ b/linedeal/platform/route.py
@@ -8,7 +8,6 @@
 from linedeal.platform import hosts, owners
 from linedeal.platform.hosts import Code
 
-CAUSES = {api.Result.DONE: owners.GIVEN_UP, api.Result.STOPPED: owners.ENDED_OTHERWISE}
 PASSED_OVER = frozenset(("progress", "released", "note", "move", "pong"))
 
 
@@ -49,13 +48,15 @@
 
     def heard(self, client: int, line: owners.Line) -> Heard:
         """Raises Unwelcome."""
-        if line.type == "setup" and not line.fault:
+        if line.fault:
+            return self.refused(line.id)
+        if line.type == "setup":
             return self.setup(client, line)
-        if line.type == "release" and not line.fault:
+        if line.type == "release":
             return self.released(client, line)
-        if line.type == "ping" and not line.fault:
+        if line.type == "ping":
             return Heard(reply=owners.pong(line.id, self.ready))
-        if line.type in PASSED_OVER and not line.fault:
+        if line.type in PASSED_OVER:
             return Heard(usual=line.id in self.tasks or None)
         return self.refused(line.id)
 
@@ -147,7 +148,8 @@
         self.drop(task)
         if task.ending or effect.result is api.Result.STOPPED:
             return 0, b""
-        return task.client, owners.release(task.id, CAUSES.get(effect.result, owners.CUT))
+        return task.client, owners.release(
+            task.id, owners.GIVEN_UP if effect.result is api.Result.DONE else owners.CUT)
 
 
 def work_of(task: str, ask: owners.Ask, description: str) -> bytes:
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -10,7 +10,6 @@
 from linedeal.engine import Engine
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
-from linedeal.interface import Mode
 from linedeal.loop import Inbox, Turning
 from linedeal.net import Net
 from linedeal.platform import config
