--- a/linedeal/controller/runtime.py
+++ b/linedeal/controller/runtime.py
@@ -225,6 +225,10 @@
 
     def know(self, listed: on.ListedHost) -> None:
         link = self.links.get(listed.id)
+        if listed.mode is Mode.GONE:
+            if link is not None:
+                link.relist(listed)     # what waits for it goes back
+            return
         if link is None:
             link = self.links[listed.id] = HostLink(listed, self.setup.name, self.life, self.net,
                                                     self.setup.cluster.limits, self.inbox, self.next_link, self.log)
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -644,9 +644,10 @@
 
     def list_heard(self, event: on.ListHeard) -> None:
         entries = tuple(self.heard(listed) for listed in event.hosts)
-        self.out += [do.KnowHost(listed) for listed in event.hosts if listed.mode is not Mode.GONE]
+        self.out += [do.KnowHost(listed) for listed in event.hosts]
         if event.whole:
-            self.fleet.missing({listed.id for listed in event.hosts})
+            self.out += [do.KnowHost(record.listed)
+                         for record in self.fleet.missing({listed.id for listed in event.hosts})]
         self.tell(api.HostsListed(entries, event.whole, event.remembered))
         every = event.whole or event.remembered
         self.ready = self.ready or every
--- a/linedeal/loop/inbox.py
+++ b/linedeal/loop/inbox.py
@@ -30,14 +30,19 @@
         """In order; waits while too many are there already, and after its share until the turn has taken that."""
         given = 0
         for event in events:
-            while not given and self.waiting >= MOST:
-                await self.taken.wait()
+            if not given:
+                await self.ready()
             self.put(event)
             given += 1
             if given == SHARE or dear(event):   # guards against one link's flood that makes a turn long for all others
                 await self.taken.wait()
                 given = 0
 
+    async def ready(self) -> None:
+        """Waits while too many are there already."""
+        while self.waiting >= MOST:
+            await self.taken.wait()
+
     def turned(self) -> None:
         """The engine has taken all that was there."""
         self.waiting = 0
--- a/linedeal/net/__init__.py
+++ b/linedeal/net/__init__.py
@@ -2,6 +2,7 @@
 
 from linedeal.net.base import Address, FrameError, Link, LinkLost, Net, open_link, parse_address
 from linedeal.net.tcp import TcpNet
-from linedeal.net.together import until_lost
+from linedeal.net.together import read_what_came, until_lost
 
-__all__ = ["Address", "FrameError", "Link", "LinkLost", "Net", "TcpNet", "open_link", "parse_address", "until_lost"]
+__all__ = ["Address", "FrameError", "Link", "LinkLost", "Net", "TcpNet", "open_link", "parse_address", "read_what_came",
+           "until_lost"]
--- a/linedeal/net/together.py
+++ b/linedeal/net/together.py
@@ -1,4 +1,4 @@
-"""Tasks that share a link's fate."""
+"""Tasks that share a link's fate, and what tasks owe each other's links."""
 
 from typing import Coroutine
 
@@ -6,6 +6,8 @@
 
 from linedeal.net.base import LinkLost
 
+ROUNDS = 3      # of the loop: one looks at the sockets, one hands on what came, in one the task that reads it runs
+
 
 async def until_lost(*works: Coroutine) -> None:
     """Runs all of `works` until one raises LinkLost, ends the others and raises it. Other errors pass as they are."""
@@ -22,3 +24,10 @@
         for work in works:
             tasks.start_soon(end_with, work)
     raise ended[0]
+
+
+async def read_what_came() -> None:
+    """Lets the tasks that read take what lies in their sockets already. After a long turn a decision may be older than a
+    word that was there before it; whoever is about to do what that word forbids looks here first."""
+    for _ in range(ROUNDS):
+        await anyio.sleep(0)
--- a/linedeal/platform/bus.py
+++ b/linedeal/platform/bus.py
@@ -2,6 +2,7 @@
 
 import time
 from dataclasses import dataclass
+from random import Random
 from typing import Callable
 
 import anyio
@@ -18,6 +19,7 @@
 SILENT = 0.4            # ... and how much longer its answer may take to be whole
 CONNECT = 1.0           # seconds for its connection to stand
 PAUSE, PAUSE_MOST = 0.1, 1.0    # seconds between calls that fail, first and at most
+JITTER = 0.5            # share of them that is left to chance
 BODY_MOST = 4 << 20     # bytes of one answer
 LONG_AGO = 1e7          # seconds: the age of a host that was there before the day
 HOSTS_MOST = 10_000     # that one event names
@@ -72,7 +74,7 @@
 
     def take(self, batch: Batch, unix: float) -> list[on.ListHeard]:
         """Raises BadEvent at a hole: what it would have told has to be read again from the start."""
-        heard = []
+        heard, asked_from = [], self.number
         for event in batch.batch:
             if event.offset <= self.number:
                 continue
@@ -81,6 +83,10 @@
             if event.topology is not None:
                 heard.append(listed(event.topology, unix))
             self.number = event.offset
+        if batch.offset > self.number:
+            if asked_from:      # taken at its word, what lies between might never be told
+                raise BadEvent(f"nothing of the events from {self.number} to {batch.offset}")
+            self.number = batch.offset      # all that there is to be told has been
         return heard
 
 
@@ -98,8 +104,10 @@
 class BusPoll:
     """One call out at a time, each from the last event that was read whole."""
 
-    def __init__(self, address: Address, feed: Feed, net: Net, inbox: Inbox, log, clock: Callable[[], float] = time.time):
+    def __init__(self, address: Address, feed: Feed, net: Net, inbox: Inbox, random: Random, log,
+                 clock: Callable[[], float] = time.time):
         self.address, self.feed, self.net, self.inbox, self.log, self.clock = address, feed, net, inbox, log, clock
+        self.random = random
         self.moved = anyio.CancelScope()
         self.fails = 0
 
@@ -120,7 +128,11 @@
                         self.log.warning("bus broke off", reason=str(error))
                     if isinstance(error, BadEvent):
                         self.feed.number = 0
-                await anyio.sleep(min(PAUSE * self.fails, PAUSE_MOST))
+                await anyio.sleep(self.backoff())
+
+    def backoff(self) -> float:
+        """Seconds until the next call, with jitter: one fault of the bus is seen by all controllers in one moment."""
+        return min(PAUSE * self.fails, PAUSE_MOST) * self.random.uniform(1 - JITTER, 1)
 
     async def connection(self) -> None:
         """Calls on one connection, until it ends. Raises LinkLost or BadEvent."""
@@ -132,9 +144,9 @@
             while True:
                 with anyio.fail_after(HOLD + SILENT):
                     body = await self.call(stream, http)
-                events = self.feed.take(decode(body), self.clock())
+                for heard in self.feed.take(decode(body), self.clock()):
+                    self.inbox.put(heard)       # never waits: what is counted as read has to be told, also at a move
                 self.fails = 0
-                await self.inbox.post(*events)
                 if http.our_state is h11.MUST_CLOSE or http.their_state is not h11.DONE:
                     return
                 http.start_next_cycle()
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -12,9 +12,10 @@
 from linedeal.engine import events as on
 from linedeal.interface import Mode, Result, Why
 from linedeal.loop import Inbox
-from linedeal.net import FrameError, Link, LinkLost, Net, parse_address, until_lost
+from linedeal.net import FrameError, Link, LinkLost, Net, parse_address, read_what_came, until_lost
 from linedeal.net.base import LOST, reason
 from linedeal.platform import hosts, owners
+from linedeal.platform.descriptors import Descriptors
 from linedeal.platform.hosts import Code, Type
 from linedeal.settings.records import Limits
 from linedeal.wiresettings import NOTES, REASONS
@@ -32,6 +33,7 @@
 IDLE_SHARE = 0.6        # of the idle time after which hosts close, after which we do
 WHY = dict(zip(("nc", "nm", "nq", "nh", "ev", "pre", "dr"), (REASONS[number] for number in range(1, 8))))
 NOTE_NAMES = dict(zip(("live", "c", "m", "s", "p"), (NOTES[number] for number in range(1, 6))))
+FIRST_WORDS = frozenset((owners.REFUSED, owners.NEVER_LEFT, owners.FAILED))     # only ever before an answer
 ENDS = {owners.GIVEN_UP: Result.DONE, owners.ENDED_OTHERWISE: Result.STOPPED, owners.FAILED: Result.ERROR}
 
 
@@ -43,6 +45,7 @@
         self.out: dict[bytes, int] = {}         # launches without an answer, by task
         self.unsent: set[int] = set()           # ... of which nothing has been written yet
         self.recalled: dict[bytes, int] = {}    # given up, by task, and the word of it is not written yet
+        self.carried: dict[bytes, float] = {}   # tasks whose set-up it was given, until when one may come again
         self.probes: dict[bytes, int] = {}
         self.used_at = now
         self.asked_at = 0.0                     # the first set-up or test since it was last heard; 0: none
@@ -58,18 +61,24 @@
     """One host over the life of a controller. The sync methods are for the loop that carries out effects."""
 
     def __init__(self, listed: on.ListedHost, net: Net, limits: Limits, idle: float, report_names: dict[str, str],
-                 most: Callable[[], int], inbox: Inbox, next_number, log):
-        """`most`: connections to one host at this time. More than one, so that a spoilt answer costs few others theirs."""
+                 most: Callable[[], int], descriptors: Descriptors, wanted: Callable[[bytes], bool], inbox: Inbox,
+                 next_number, log):
+        """`most`: connections to one host at this time. More than one, so that a spoilt answer costs few others theirs.
+        `wanted`: whether the owner of a task still waits for it."""
         self.listed, self.net, self.limits, self.inbox, self.log = listed, net, limits, inbox, log
         self.idle, self.report_names, self.most, self.next_number = idle, report_names, most, next_number
+        self.descriptors, self.wanted = descriptors, wanted
         self.outbox: deque = deque()
         self.connections: list[Connection] = []
         self.tasks_of: dict[int, bytes] = {}            # launches that are out or stand
         self.standing: dict[bytes, int] = {}
         self.stops: dict[bytes, None] = {}              # standing jobs to be ended there, until it says so
+        self.unsettled: dict[bytes, float] = {}         # tasks of launches that ended without a word of the host, until
+                                                        # when one may come again: what it says may be about the former
         self.wake = anyio.Event()
         self.scope = anyio.CancelScope()
         self.opening = False
+        self.reopen = False             # one was lost while jobs stood: what the host said on it comes again on the next
         self.heard_at = 0.0
         self.shut_until = 0.0           # no further connection before, others serve
         self.refusals = 0
@@ -77,7 +86,7 @@
     # -- for the engine's effects
 
     def relist(self, listed: on.ListedHost) -> None:
-        """What a newer list says. Launches that still wait for a host that drains go back."""
+        """What a newer list says. Launches that still wait for a host that drains, or is gone, go back."""
         if (listed.mode, listed.boot) != (self.listed.mode, self.listed.boot):
             self.log.info("host changed", host=listed.id, mode=listed.mode.name, age=round(listed.age, 1))
         self.listed = listed
@@ -149,6 +158,7 @@
             if connection.out.get(task) == number:
                 del connection.out[task]
                 connection.recalled[task] = number
+                self.unsettled[task] = connection.carried[task]
                 connection.queue(released(task))
                 if connection.asked_at:     # not a word since: whatever else is out on it goes on, nothing new does
                     connection.shut = True
@@ -177,46 +187,67 @@
                         self.opening = True
                         self.tasks.start_soon(self.open)
 
-    def best(self) -> Connection | None:
-        return min((c for c in self.connections if not c.shut), key=lambda c: len(c.out),
-                   default=self.connections[0] if self.connections else None)
+    def best(self, task: bytes | None = None) -> Connection | None:
+        """The least busy. For a launch, None where none may carry it: a word is known to be about this launch, and no copy
+        of one about an earlier launch of the same task, because no connection ever carries two set-ups of one task."""
+        fit = [c for c in self.connections if not c.shut and task not in c.carried]
+        if task is None and not fit:
+            return self.connections[0] if self.connections else None
+        return min(fit, key=lambda c: len(c.out), default=None)
 
     def dispatch(self) -> bool:
         """Hands what waits to connections; true where one more is wanted. Nothing waits for that where others serve:
         launches held up meanwhile would all reach the host in one moment, and be refused there."""
-        now, wanted = anyio.current_time(), False
+        now, wanted, stay, most = anyio.current_time(), False, deque(), self.most()
         while self.outbox:
-            best, effect = self.best(), self.outbox[0]
+            effect = self.outbox.popleft()
             launch = isinstance(effect, do.SendLaunch)
-            if best is None or launch and best.shut:
-                return best is None or len(self.connections) < self.most()
-            self.outbox.popleft()
+            best = self.best(effect.work[:8] if launch else None)
+            if best is None:
+                stay.append(effect)
+                continue
             if launch:
                 wanted = wanted or bool(best.out)
                 best.out[effect.work[:8]] = effect.number
+                best.carried[effect.work[:8]] = effect.job.expiry
                 best.unsent.add(effect.number)
             best.queue(effect)
-        wanted = wanted or bool(self.standing) and not self.connections
-        return wanted and len(self.connections) < self.most() and now >= self.shut_until
+        self.outbox = stay
+        if self.listed.mode is Mode.GONE:
+            return False        # another may listen at its address by now
+        if stay and self.connections:
+            if len(self.connections) == most:       # its place is needed; what is out on it goes on
+                min(self.connections, key=lambda c: len(c.out)).shut = True
+            return len(self.connections) <= most and now >= self.shut_until
+        wanted = bool(stay) or (
+            wanted or self.reopen or bool(self.standing) and not self.connections) and now >= self.shut_until
+        return wanted and len(self.connections) < most
 
     async def open(self) -> None:
-        stream, refused = None, False
-        try:
-            with anyio.fail_after(self.limits.connect):
-                stream = await self.net.connect(parse_address(self.listed.addresses[0]))
-        except TimeoutError:
-            why = "it does not answer"
-        except ValueError as error:
-            why = str(error)
-        except LOST as error:
-            why, refused = reason(error), isinstance(error.__cause__ or error, ConnectionRefusedError)
+        stream = why = None
+        refused, within = False, self.limits.connect
+        if not await self.descriptors.for_host(within):
+            why = "no descriptor is free for it"
+        else:
+            try:
+                with anyio.fail_after(within):
+                    stream = await self.net.connect(parse_address(self.listed.addresses[0]))
+            except TimeoutError:
+                why = "it does not answer"
+            except ValueError as error:
+                why = str(error)
+            except LOST as error:
+                why, refused = reason(error), isinstance(error.__cause__ or error, ConnectionRefusedError)
+            finally:
+                if stream is None:
+                    self.descriptors.given_back(hosts=1)
         self.opening = False
         self.wake.set()
         if stream is None:
             await self.not_opened(why, refused)
             return
         now = self.heard_at = anyio.current_time()
-        self.refusals = 0
+        self.refusals, self.reopen = 0, False
         connection = Connection(self.next_number(), Link(stream, hosts.FrameReader()), now)
         self.connections.append(connection)
         for task in self.stops:
@@ -251,10 +282,15 @@
             why = type(error).__name__
             self.log.error("fault", where=self.listed.id, trace=traceback.format_exc())
         finally:
-            self.connections.remove(connection)
+            connection.shut = True
             await connection.link.close()
+            self.descriptors.given_back(hosts=1)
+            self.connections.remove(connection)     # only now: what is out on it may go elsewhere once it is closed
         for task, number in connection.out.items():
             self.tasks_of.pop(number, None)
+            if number not in connection.unsent:
+                self.unsettled[task] = connection.carried[task]
+        self.reopen = bool(self.standing) and anyio.current_time() - connection.used_at < self.idle * IDLE_SHARE
         self.outbox.extendleft(effect for effect in reversed(connection.outbox) if isinstance(effect, do.SendProbe))
         unsent = tuple(number for number in connection.out.values() if number in connection.unsent)
         if connection.out:
@@ -269,8 +305,9 @@
         while True:
             await connection.wake.wait()
             connection.wake = anyio.Event()
-            if connection.recalled:
-                await anyio.sleep(0)        # what a late loop has not read yet may be the answer: `after_all`
+            if connection.recalled or connection.unsent:
+                # what a late loop has not read yet may be the answer (`after_all`), or the word of an owner that goes
+                await read_what_came()
             data, recalled = self.gather(connection), dict(connection.recalled)
             if data:
                 connection.used_at = anyio.current_time()
@@ -292,8 +329,10 @@
                 connection.probes[probe] = effect.number
                 data += hosts.encode(Type.PING, probe, hosts.parameter(Code.CAUSE, b"\x01"))
                 asks = True
-            elif effect.boot != self.listed.boot or self.listed.mode is not Mode.SERVING or effect.due <= now:
-                # what it was decided on holds no more: a host that started again is cold, one that drains takes nothing
+            elif effect.boot != self.listed.boot or self.listed.mode is not Mode.SERVING or effect.due <= now or (
+                    not self.wanted(effect.work[:8])):
+                # what it was decided on holds no more: a host that started again is cold, one that drains takes nothing,
+                # nobody waits for the job of an owner that has gone
                 self.hand_back([effect])
             else:
                 connection.unsent.discard(effect.number)
@@ -342,8 +381,14 @@
             if connection.shut and not connection.out:
                 raise LinkLost("its last launch was not answered")
             last = self.standing and len(self.connections) == 1
-            if now - connection.used_at > self.idle * IDLE_SHARE and not connection.out and not last:
-                raise LinkLost("idle")
+            if now - connection.used_at > self.idle * IDLE_SHARE and not connection.out and not self.standing:
+                raise LinkLost("idle")      # while jobs stand the host may be about to say on it that one has ended
+            if self.descriptors.wanted and self.descriptors.full and not connection.out and not self.standing and (
+                    now - connection.used_at > LOOK):
+                raise LinkLost("idle, and its descriptor is wanted")
+            for spent in connection.carried, self.unsettled:
+                for task in [task for task, until in spent.items() if until <= now]:
+                    del spent[task]
             if last and not connection.asked_at and now - self.heard_at > QUIET:
                 connection.asked_at = now
                 connection.queue(hosts.encode(Type.PING, bytes(8), hosts.parameter(Code.CAUSE, b"\x00")))
@@ -397,6 +442,9 @@
         host, task, cause = self.listed.id, frame.task, frame.cause()
         why = WHY.get(frame.text(Code.NAME), Why.UNTOLD)
         number = connection.out.get(task)
+        stale = task in self.unsettled and cause not in FIRST_WORDS
+        if stale and task not in self.stops and (cause == owners.ENDED_OTHERWISE or number is not None):
+            return None         # of the launch before, which it had taken when the word came that gives it up
         if number is not None and number not in connection.unsent:
             del connection.out[task]
             self.tasks_of.pop(number, None)
--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -6,17 +6,20 @@
 import anyio
 
 from linedeal.loop import Inbox
-from linedeal.net import Address, Link, LinkLost, Net
-from linedeal.platform.owners import LineReader
-from linedeal.platform.route import Route, Unwelcome
+from linedeal.net import Address, Link, LinkLost, Net, read_what_came
+from linedeal.platform.descriptors import Descriptors
+from linedeal.platform.owners import Line, LineReader
+from linedeal.platform.route import Heard, Route, Unwelcome
 
 TO_SPEAK = 0.5          # seconds for which a new connection is not held to be a silent one
 FIRST_WORD = 2.0        # seconds for a new connection to say something usual, and for a line to end
+AHEAD = 512             # lines read ahead of those that are taken: a close or a cancel behind them is seen at once
 UNREAD = 262144         # bytes that an owner may leave unread
 SEND_WITHIN = 5.0       # seconds for an owner to read what is written
 BAD_MOST = 20           # messages that are refused as they are read, on one connection
 BAD_PAUSE = 0.05        # seconds for which a connection is not read after each of them
 WAITING = 4096          # releases that wait for a connection to leave on
+CLOSES = 8              # rounds of the loop that a close takes at most
 LOOK = 0.25             # seconds between two looks for lines that do not end
 FLUSHED = 0.05          # seconds between two looks whether all is written
 
@@ -28,35 +31,30 @@
         self.served = False             # it has brought a job that stands, now or before: a host knows its owner's jobs
         self.bad = 0
         self.unfinished_at = 0.0        # since when a line lacks its end
-        self.outbox = bytearray()
+        self.lines: deque[Line] = deque()       # read, and not taken yet
+        self.came = anyio.Event()
+        self.room = anyio.Event()
+        self.outbox: list[tuple[bytes, bool]] = []      # what is to be written, and whether it is about what stands
+        self.unread = 0                 # bytes in it
         self.writing = False            # what was in it last is being written
         self.wake = anyio.Event()
         self.scope = anyio.CancelScope()
         self.why = ""
 
-    def let_go(self, why: str) -> None:
-        self.why = self.why or why
-        self.scope.cancel()
-
-    def queue(self, data: bytes) -> None:
-        self.outbox += data
-        if len(self.outbox) > UNREAD:
-            self.let_go("it leaves too much unread")
-        self.wake.set()
-
 
 class Owners:
-    def __init__(self, route: Route, net: Net, inbox: Inbox, most: int, next_number, log):
-        """`most`: connections at one time."""
-        self.route, self.net, self.inbox, self.most, self.next_number, self.log = (
-            route, net, inbox, most, next_number, log)
+    def __init__(self, route: Route, net: Net, inbox: Inbox, descriptors: Descriptors, next_number, log):
+        self.route, self.net, self.inbox, self.descriptors, self.next_number, self.log = (
+            route, net, inbox, descriptors, next_number, log)
         self.links: dict[int, OwnerLink] = {}
+        self.closing = 0                # let go of, their sockets not closed yet
         self.waiting: deque[bytes] = deque(maxlen=WAITING)
         self.counts = {"connections": 0, "shed": 0, "refused as read": 0, "closed on": 0}
 
     async def run(self, address: Address, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.mind)
+            tasks.start_soon(self.shed)
             await self.net.serve(address, self.handle, task_status=task_status)
 
     def serves(self, client: int) -> None:
@@ -64,61 +62,109 @@
         if link is not None:
             link.served = True
             while self.waiting:
-                link.queue(self.waiting.popleft())
+                self.queue(link, self.waiting.popleft(), True)
 
-    def send(self, client: int, data: bytes) -> None:
-        """To that connection; where it has gone, what is about a standing task leaves on the last one that serves:
-        one whose jobs hosts take. Any other may be of a client that passes nothing on."""
+    def send(self, client: int, data: bytes, lasting: bool = False) -> None:
+        """To that connection; where it has gone, what is about a standing task (`lasting`) leaves on the last one that
+        serves: one whose jobs hosts take. Any other may be of a client that passes nothing on."""
         if not client or not data:
             return
-        link = self.links.get(client) or next((link for link in reversed(self.links.values()) if link.served), None)
-        if link is None:
+        link = self.links.get(client)
+        if link is None and lasting:
+            link = next((link for link in reversed(self.links.values()) if link.served), None)
+        if link is not None:
+            self.queue(link, data, lasting)
+        elif lasting:
             self.waiting.append(data)
-        else:
-            link.queue(data)
+
+    def queue(self, owner: OwnerLink, data: bytes, lasting: bool = False) -> None:
+        owner.outbox.append((data, lasting))
+        owner.unread += len(data)
+        if owner.unread > UNREAD:
+            self.let_go(owner, "it leaves too much unread")
+        owner.wake.set()
 
     async def handle(self, stream) -> None:
         owner = OwnerLink(self.next_number(), Link(stream, LineReader()), anyio.current_time())
         self.links[owner.number] = owner
         self.counts["connections"] += 1
-        self.shed()
+        self.descriptors.taken(owners=1)
         try:
-            with owner.scope:       # two tasks and no exceptions in groups: hundreds of these come and go
+            with owner.scope:       # three tasks and no exceptions in groups: hundreds of these come and go
                 async with anyio.create_task_group() as tasks:
                     tasks.start_soon(self.until_lost, owner, self.write)
+                    tasks.start_soon(self.until_lost, owner, self.take)
                     await self.until_lost(owner, self.read)
         finally:
-            del self.links[owner.number]
+            self.let_go(owner, "the program ends")
             await owner.link.close()
-            self.inbox.put(self.route.client_left(owner.number))
+            self.closing -= 1
+            self.descriptors.given_back(owners=1)
             self.log.debug("owner let go", reason=owner.why)
 
+    def let_go(self, owner: OwnerLink, why: str) -> None:
+        """Its client has disconnected, or is about to be: told at once, its socket may take a while to close. What it has
+        brought about jobs that stand counts all the same, and what it was to hear of them others hear."""
+        if owner.number not in self.links:
+            return
+        del self.links[owner.number]
+        self.closing += 1
+        owner.why = why
+        owner.scope.cancel()
+        for line in owner.lines:
+            if self.route.outlives(line):
+                try:
+                    self.hear(owner, line)
+                except LinkLost:
+                    pass        # it ends in any case
+        self.inbox.put(self.route.client_left(owner.number))
+        for data, lasting in owner.outbox:
+            if lasting:
+                self.send(owner.number, data, lasting)
+
     async def until_lost(self, owner: OwnerLink, work) -> None:
         try:
             await work(owner)
         except LinkLost as error:
-            owner.let_go(str(error))
+            self.let_go(owner, str(error))
         except Exception as error:      # a fault of ours that one owner's bytes bring out ends that connection alone
             self.log.error("fault", where="owner", trace=traceback.format_exc())
-            owner.let_go(type(error).__name__)
+            self.let_go(owner, type(error).__name__)
 
-    def shed(self) -> None:
-        """Guards against connections that use up the descriptors. Those go first that have had time to speak and have
-        said nothing, then those with nothing open, unheard for longest, then new ones; one with a set-up open never."""
-        if len(self.links) <= self.most:
-            return
-        now = anyio.current_time()
-        able = [link for link in self.links.values() if link.number not in self.route.open and not link.scope.cancel_called]
+    async def shed(self) -> None:
+        """Guards against connections that use up the descriptors: closes idle ones while there are too many. Those go
+        first that have had time to speak and have said nothing, then those with nothing open, unheard for longest, then
+        new ones; one with a set-up open never."""
+        while True:
+            await self.descriptors.until_crowded()
+            able = [owner for owner in self.links.values() if self.idle(owner)]
+            if not able:
+                await anyio.sleep(FLUSHED)
+            elif await self.close_idle(min(able, key=self.rank), "too many connections"):
+                self.counts["shed"] += 1
+                while self.closing:     # counted until its socket is closed, which takes some rounds of the loop
+                    await anyio.sleep(0)
 
-        def rank(link):
-            new = not link.usual and now - link.began <= TO_SPEAK
-            return (2 if new else int(link.usual)), link.heard_at
+    def idle(self, owner: OwnerLink) -> bool:
+        """It may be closed: nothing that it has brought is open, as far as has been read."""
+        return owner.number not in self.route.open and not owner.lines and owner.number in self.links
 
-        if able:
-            self.counts["shed"] += 1
-            min(able, key=rank).let_go("too many connections")
+    def rank(self, owner: OwnerLink) -> tuple:
+        new = not owner.usual and anyio.current_time() - owner.began <= TO_SPEAK
+        return (2 if new else int(owner.usual)), owner.heard_at
+
+    async def close_idle(self, owner: OwnerLink, why: str) -> bool:
+        """Closes what is idle, unless a set-up lies unread in its socket, where a late loop has left it for longer than
+        its owner would send it again."""
+        heard_at = owner.heard_at
+        await read_what_came()
+        if owner.heard_at != heard_at or not self.idle(owner):
+            return False
+        self.let_go(owner, why)
+        return True
 
     async def read(self, owner: OwnerLink) -> None:
+        """Never waits for what it has read to be taken: behind it may be the word that its client has gone."""
         while True:
             lines = await owner.link.receive_all()
             if owner.scope.cancel_called:
@@ -127,19 +173,39 @@
                 return
             owner.heard_at = anyio.current_time()
             for line in lines:
-                try:
-                    heard = self.route.heard(owner.number, line)
-                except Unwelcome as error:
-                    self.counts["closed on"] += 1
-                    raise LinkLost(str(error)) from None
-                if heard.reply:
-                    owner.queue(heard.reply)
-                if heard.event is not None:
-                    await self.inbox.post(heard.event)
-                if heard.usual:
-                    owner.usual = True
-                elif heard.usual is False:
+                if line.type == "release" and line.id in self.route.tasks and not line.fault and not any(
+                        ahead.id == line.id for ahead in owner.lines):
+                    self.hear(owner, line)      # a cancel waits for nothing ahead of it
+                else:
+                    owner.lines.append(line)
+            owner.came.set()
+            while len(owner.lines) > AHEAD:
+                owner.room = anyio.Event()
+                await owner.room.wait()
+
+    def hear(self, owner: OwnerLink, line: Line) -> Heard:
+        """Raises LinkLost."""
+        try:
+            heard = self.route.heard(owner.number, line)
+        except Unwelcome as error:
+            self.counts["closed on"] += 1
+            raise LinkLost(str(error)) from None
+        if heard.reply:
+            self.queue(owner, heard.reply)
+        if heard.event is not None:
+            self.inbox.put(heard.event)
+        owner.usual = owner.usual or bool(heard.usual)
+        return heard
+
+    async def take(self, owner: OwnerLink) -> None:
+        while True:
+            await owner.came.wait()
+            owner.came = anyio.Event()
+            while owner.lines:
+                await self.inbox.ready()
+                if self.hear(owner, owner.lines.popleft()).usual is False:
                     await self.unusual(owner)
+                owner.room.set()
 
     async def unusual(self, owner: OwnerLink) -> None:
         """Guards against floods of what cannot be taken: each costs its own connection a pause, many the connection."""
@@ -158,23 +224,36 @@
                 owner.unfinished_at = (owner.unfinished_at or now) if owner.link.reader.rest else 0.0
                 nothing = not owner.usual and now - owner.began > FIRST_WORD
                 idle = not owner.served and now - owner.heard_at > FIRST_WORD
-                if owner.number not in self.route.open and (nothing or idle):
-                    owner.let_go("it says nothing of use")      # or takes back all that it asked for, and waits
+                if (nothing or idle) and self.idle(owner):
+                    await self.close_idle(owner, "it says nothing of use")  # or takes back all it asked for, and waits
                 elif owner.unfinished_at and now - owner.unfinished_at > FIRST_WORD:
-                    owner.let_go("a line that does not end")
+                    self.let_go(owner, "a line that does not end")
+
+    async def closed(self) -> None:
+        """Waits, a little, until what was let go of as idle is closed: what comes in between would be lost with it."""
+        for _ in range(CLOSES):
+            if not self.closing:
+                return
+            await anyio.sleep(0)
 
     async def write(self, owner: OwnerLink) -> None:
         while True:
             await owner.wake.wait()
             owner.wake = anyio.Event()
-            data, owner.outbox = bytes(owner.outbox), bytearray()
+            data, owner.outbox, owner.unread = b"".join(data for data, _ in owner.outbox), [], 0
             owner.writing = True
             await owner.link.send(data, SEND_WITHIN)
             owner.writing = False
 
+    def unwritten(self) -> bool:
+        return any(owner.outbox or owner.writing for owner in self.links.values())
+
+    def lines_wait(self) -> bool:
+        return any(owner.lines for owner in self.links.values())
+
     async def flush(self, within: float) -> None:
         """Waits until all that was queued is written, at most so many seconds."""
         with anyio.move_on_after(within):
-            while any(owner.outbox or owner.writing for owner in self.links.values()):
+            while self.unwritten():
                 await anyio.sleep(FLUSHED)
             await anyio.sleep(FLUSHED)      # and on its way
--- a/linedeal/platform/route.py
+++ b/linedeal/platform/route.py
@@ -44,6 +44,11 @@
         self.by_job: dict[str, Task] = {}
         self.open: dict[int, set[str]] = {}     # ids that are owed an answer, by connection
 
+    def waits(self, task: bytes) -> bool:
+        """Whether its owner waits for it still: it has neither gone nor cancelled, as far as has been read."""
+        known = self.tasks.get(task.hex())
+        return known is not None and not known.stands
+
     # -- from owners
 
     def heard(self, client: int, line: owners.Line) -> Heard:
@@ -96,6 +101,12 @@
         self.drop(task)
         return Heard(on.TakenBack(client, task.id))
 
+    def outlives(self, line: owners.Line) -> bool:
+        """Whether it counts though the connection that brought it has gone: what is about jobs that stand."""
+        if line.type == "setup":
+            return "at:" in str(line.fields.get("extras", ""))
+        return line.type == "release" and line.id in self.tasks and self.tasks[line.id].stands
+
     def client_left(self, client: int) -> on.ClientLeft:
         for task in list(self.open.get(client, ())):
             self.drop(self.tasks[task])
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -4,16 +4,19 @@
 import signal
 import time
 from pathlib import Path
+from random import Random
 
 import anyio
 
 from linedeal.engine import Engine
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
+from linedeal.interface import Mode
 from linedeal.loop import Inbox, Turning
-from linedeal.net import Net
+from linedeal.net import Net, read_what_came
 from linedeal.platform import config
 from linedeal.platform.bus import BadEvent, BusPoll, Feed
+from linedeal.platform.descriptors import Descriptors
 from linedeal.platform.hostlink import LIFE, HostLink
 from linedeal.platform.ownerlink import Owners
 from linedeal.platform.route import Route
@@ -21,8 +24,6 @@
 COMING = 0.8            # seconds after SIGTERM for which set-ups still come
 STANDING_MOST = 3.4     # seconds after SIGTERM for which ends of what stands are passed on
 PASS_ON = 0.2           # seconds beyond the last expiry, and for the last answers to be read
-OWNERS_SHARE = 0.5      # of the descriptors, for connections of owners
-HOSTS_SHARE = 0.35      # ... and for connections to hosts
 ONE_HOST = 4            # connections to one host, where there are few
 TELL_EVERY = 10.0       # seconds between two lines that sum up
 NOTES_MOST = 20         # lines of one kind between two of those
@@ -43,10 +44,10 @@
         self.inbox = Inbox(self.engine.put)
         self.turning = Turning(self.engine, self.inbox, setup.cluster.limits.tick)
         self.route = Route(setup.cluster.settings)
-        self.owners = Owners(self.route, self.net, self.inbox, int(setup.sockets * OWNERS_SHARE), self.next_number,
-                             self.log)
+        self.descriptors = Descriptors(setup.sockets)
+        self.owners = Owners(self.route, self.net, self.inbox, self.descriptors, self.next_number, self.log)
         self.feed = Feed()
-        self.bus = BusPoll(setup.bus, self.feed, self.net, self.inbox, self.log)
+        self.bus = BusPoll(setup.bus, self.feed, self.net, self.inbox, Random(setup.seed + 2), self.log)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with anyio.create_task_group() as self.tasks:
                 self.tasks.start_soon(self.obey, signals)
@@ -98,6 +99,7 @@
         leave_most = max(STANDING_MOST, COMING + longest + PASS_ON)
         steps = COMING, STANDING_MOST, leave_most       # seconds after SIGTERM at which something changes
         while True:
+            await self.owners.closed()      # before a turn that may be long
             now = anyio.current_time()
             # guards against jobs without end that keep it from ending: who comes later than any should is turned away
             self.engine.leaving = now >= self.leaving_at + COMING
@@ -105,14 +107,22 @@
             since = now - self.leaving_at
             if since >= leave_most or since >= COMING and not self.owes(since):
                 await self.owners.flush(PASS_ON)
-                if since >= leave_most or not any(type(event) is on.Submitted for event in self.engine.arrived):
+                await read_what_came()
+                if since >= leave_most or not self.brought():
                     self.log.info("ends", owed=len(self.engine.taken))
                     return
             due = self.engine.next_due()
             if self.leaving_at <= now:
                 due = min(due, self.leaving_at + min(step for step in steps if step > since))
+                if self.owners.unwritten():
+                    due = min(due, now + PASS_ON)
             await self.turning.wait(due)
 
+    def brought(self) -> bool:
+        """Whether something has come meanwhile that is owed an answer, or an answer is not written."""
+        return self.owners.unwritten() or self.owners.lines_wait() or any(
+            type(event) is on.Submitted for event in self.engine.arrived)
+
     def owes(self, since: float) -> bool:
         """So long after SIGTERM. What is owed an answer is waited for: each job has its answer by its expiry, and one that
         ends with its connection would be lost. What stands goes on at its hosts; its ends are passed on for a while."""
@@ -133,7 +143,10 @@
                 self.owners.serves(effect.client)
             told = OWNER_EFFECTS[kind](self.route, effect)
             if told is not None:
-                self.owners.send(*told)
+                self.owners.send(*told, lasting=kind is do.PlacedOver)
+                if kind is do.Answer and effect.verdict is do.Verdict.PLACED and not told[1]:
+                    # its owner has gone meanwhile, and the engine takes it for answered: nobody would end it there
+                    self.inbox.put(on.PlacedEnded(effect.job))
         elif kind is do.KnowHost:
             self.know(effect.host)
         elif kind is do.DropHost:
@@ -154,15 +167,18 @@
     def know(self, listed: on.ListedHost) -> None:
         link = self.hosts.get(listed.id)
         if link is None:
+            if listed.mode is Mode.GONE:
+                return
             setup = self.setup
-            link = self.hosts[listed.id] = HostLink(listed, self.net, setup.cluster.limits, setup.idle,
-                                                    setup.report_names, self.connections, self.inbox, self.next_number, self.log)
+            link = self.hosts[listed.id] = HostLink(
+                listed, self.net, setup.cluster.limits, setup.idle, setup.report_names, self.connections,
+                self.descriptors, self.route.waits, self.inbox, self.next_number, self.log)
             self.tasks.start_soon(link.run)
         link.relist(listed)
 
     def connections(self) -> int:
         """To one host, now."""
-        return max(1, min(ONE_HOST, int(self.setup.sockets * HOSTS_SHARE) // max(1, len(self.hosts))))
+        return self.descriptors.to_one_host(len(self.hosts), ONE_HOST)
 
     async def tell(self) -> None:
         while True:
--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -8,7 +8,7 @@
 3. homes: all controllers sample the same few hosts for a service, and near ties go to those that keep it
 4. fewest hosts: where hosts in use have a price, only the fullest that the load needs are offered
 5. waiting order: within a customer's share first, then by value, then by time left
-6. young pace: a host that has just started gets our part of what all controllers together may send
+6. slow start: a host that has just started gets our part of what all controllers together may send
 """
 
 from collections import deque
@@ -42,7 +42,7 @@
 HEARD_WEIGHT, USE_WEIGHT = 0.5, 0.15    # weights of a new figure against the old ones
 ASK_AGAIN, QUIET_LIST = 1.0, 6.0    # seconds before a list that failed, or says nothing, is asked for again
 LAST_MOMENT = 0.03          # seconds before a job's expiry at which waiting ends
-YOUNG_SHARE, YOUNG_SPAN = 0.8, 1.1  # of the offers and the span that a young host bears, for all controllers
+YOUNG_SHARE, YOUNG_SPAN, SLOT = 0.8, 1.1, 0.1   # of a young host's offers; of its span; of that, a turn
 PATIENCE = 0.25             # share of an offering's expiry that a launch may take to be accepted
 USE_MOST = 4.0              # times its ask: what a job uses beyond that tells nothing of others
 SERVICES, CROWD = 4096, 2000    # services remembered (those without a job go first); our launches on one host
@@ -114,6 +114,7 @@
     programs: dict = field(default_factory=dict)    # launches of each service; 0: its program may be kept
     probed: float = 0.0
     mark: int = 0
+    slot: float = None                      # while it is young: when one of our turns to send begins
 
     def tally(self):
         """One pass: this runs at each change of a launch, over all of the host's."""
@@ -134,27 +135,21 @@
 
 class Controller:
     def __init__(self, settings, seed, now):
-        self.s = settings
-        self.random = Random(seed)
-        self.now = self.begun = now
-        self.hosts = {}
-        self.tracks = {}
-        self.services = {}
-        self.waiting = {}
+        self.s, self.random = settings, Random(seed)
+        self.now = self.begun = self.heard_list = self.load_due = self.came = now
+        self.hosts, self.tracks, self.services, self.waiting = {}, {}, {}, {}
         self.held = {customer: 0.0 for customer in settings.quotas}
         self.usual = {name: Service(UNKNOWN_USE, UNKNOWN_MEMORY) for name in settings.offerings}
         self.calm = min((o.calm for o in settings.offerings.values()), default=1.0) + CALM_MARGIN
-        self.gap, self.came = 1.0, now      # seconds between own jobs, lately
-        self.heard_list = self.load_due = now
+        self.gap = 1.0              # seconds between own jobs, lately
         self.bounds = (settings.accepts_cores, settings.accepts_memory,
                        LATE_LIST * (1 - 1 / settings.controllers), self.calm)
         self.use_ratio, self.mean_asked = (UNKNOWN_USE, UNKNOWN_USE), (0.5, 0.5)
         self.serving = self.asks = 0    # hosts that take jobs; lists that failed in a row
-        self.room_made = False
+        self.room_made, self.paced = False, NEVER   # paced: when the next slot of a young host comes
         self.direct = self.most = TRIES     # jobs looked at as their events come, and in one settling
         self.refused = None         # shapes that found no room in the settling that goes on, if any
-        self.strange = set()        # hosts of kinds that no setting names
-        self.out = []
+        self.strange, self.out = set(), []  # hosts of kinds that no setting names; what is to be done
 
     # -- events
 
@@ -248,8 +243,8 @@
             track.service.tracks -= 1
 
     def arrived(self, job, risk):
-        self.gap += ANSWER_SEEN * (min(self.now - self.came, ROUND) - self.gap)
-        self.came = self.now
+        gap, self.came = min(self.now - self.came, ROUND), self.now
+        self.gap += ANSWER_SEEN * (gap - self.gap)
         # one a job, however many hosts there are; none where its news is old long before the round is
         # over: it costs as much and changes no choice. Harms where only a probe finds a silent host well
         if self.s.may_probe and 0 < len(self.hosts) * self.gap <= ROUND:
@@ -354,7 +349,7 @@
         if not self.wanted(track):
             return None
         # hosts that answer an offering with errors; where all do, the fault is elsewhere and none is ill
-        offers, now, name = [], self.now, (track.offering.name, track.job.customer)
+        offers, now, name, self.paced = [], self.now, (track.offering.name, track.job.customer), NEVER
         ill = [host for host in self.hosts.values()
                if host.ill and host.ill.get(name, (0.0,))[0] > now or host is track.erred]
         ill = ill if len(ill) < len(self.hosts) else ()
@@ -366,6 +361,8 @@
                 if room >= 0 and self.may_take(track, host):
                     offers.append((self.change(track, host), room, host))
         if not offers:
+            if self.paced < NEVER:
+                self.timer(self.paced - now, "room")
             return None
         # a late answer: the host is jammed, hung or cut off, though no launch there has failed yet; covers
         # slow starts too; the others are filled first, which harms where one job alone is slow to answer
@@ -466,8 +463,13 @@
         if entry.booted and self.now < entry.booted + self.s.cold_time:
             if self.now < self.begun + self.s.young_span:   # an earlier life's sends there are not known
                 return False
-            part = self.s.young_limit * YOUNG_SHARE / self.s.controllers
-            span = self.s.young_span * YOUNG_SPAN * max(1.0, 1.0 / part)
+            span, part = self.s.young_span * YOUNG_SPAN, self.s.young_limit * YOUNG_SHARE / self.s.controllers
+            if part < 1.0:  # one each, in turns that each one's own chance has set: else all come at once
+                host.slot = self.random.uniform(0.0, span / part) if host.slot is None else host.slot
+                since = (self.now - host.slot) % (span / part)
+                if since >= SLOT * span:
+                    self.paced = min(self.paced, self.now + span / part - since)
+                    return False
             while host.sends and host.sends[0] <= self.now - span:
                 host.sends.popleft()
             if len(host.sends) + 1 > max(1.0, part):
@@ -487,9 +489,8 @@
             if track.offering.effect is Effect.REDOABLE:
                 wait = min(wait, late)
         track.launches += 1
-        track.sent = self.now
+        track.sent, track.started = self.now, False
         track.answer_due = self.now + late
-        track.started = False
         host.sends.append(self.now)
         self.hold(track, host)
         self.out.append(api.Launch(track.job.id, host.entry.id, wait))
@@ -678,7 +679,7 @@
             host = self.hosts[entry.id] = Host(entry, self.s.kinds[entry.kind], mark=crc32(entry.id.encode()))
         if entry.booted > host.entry.booted:
             host.programs = {service: count for service, count in host.programs.items() if count}
-            host.asked = host.used = None
+            host.asked = host.used = host.slot = None
         host.entry, host.load = entry, None
         if entry.mode is not Mode.GONE and sound(entry.free_cores, entry.free_memory or 0.0, least=-NEVER):
             own = host.own
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -197,7 +197,7 @@
 
 
 @asynccontextmanager
-async def ground(tmp_path, log, hosts_of=None, spoil=None, **rest):
+async def ground(tmp_path, log, hosts_of=None, spoil=None, net=None, **rest):
     """A service on loopback with its bus and its hosts."""
     hosts_of = hosts_of or {"h1": Host(), "h2": Host()}
     async with anyio.create_task_group() as tasks:
@@ -209,7 +209,7 @@
         bus.tell(*(place.server(name) for name in hosts_of), full=True)
         path = tmp_path / "config.json"
         path.write_text(json.dumps(file_of(bus.address, bus.known(), **rest)))
-        place.service = Service(config.read(str(path)), str(path), TcpNet(), log)
+        place.service = Service(config.read(str(path)), str(path), net or TcpNet(), log)
         place.address = await tasks.start(place.service.run)
         place.path = path
         with anyio.fail_after(60):
--- /dev/null
+++ b/tests/test_races.py
@@ -0,0 +1,302 @@
+"""Pairs of events that can cross, each forced into its bad order; docs/races.md has the table. On loopback, with real
+connections to scripted hosts, a scripted bus and owners."""
+
+import io
+import json
+import socket
+from random import Random
+
+import anyio
+import pytest
+
+from linedeal import interface as api
+from linedeal.engine import effects as do
+from linedeal.loop import inbox
+from linedeal.net import Link, TcpNet
+from linedeal.platform import bus, hosts, hostlink
+from linedeal.platform.hosts import Type
+from linedeal.platform.log import Log
+from tests.platform import SDP, Bus, Host, answer, file_of, ground, in_stock, release
+
+pytestmark = pytest.mark.anyio
+A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture
+def log():
+    return Log(stream=io.StringIO())
+
+
+# -- words about an earlier launch of the same task at the same host
+
+
+@pytest.mark.parametrize("cause", [34, 102])
+async def test_a_second_copy_of_a_refusal_says_nothing_of_the_next_launch_there(tmp_path, log, cause):
+    # the copy comes once the next launch has arrived: taken as the word on that one, it would prove that a launch
+    # never ran that runs, and an irreversible job would run twice
+    streams = []
+
+    async def script(host, stream, frame):
+        if frame.type != Type.SETUP:
+            return False
+        streams.append(stream)
+        if len(streams) == 1:
+            await stream.send(release(frame.task, cause))
+        else:
+            await streams[0].send(release(frame.task, cause))
+            await stream.send(answer(frame.task))
+        return True
+
+    async with ground(tmp_path, log, {"h1": Host(script)}) as g:
+        owner = await g.client()
+        await owner.setup(A, "feed")
+        await owner.until("answer", A)
+        assert len(g.hosts["h1"].sent(Type.SETUP)) == 2 and streams[0] is not streams[1]
+        await streams[1].send(release(bytes.fromhex(A), 16))
+        assert (await owner.until("release", A))[2] == 16
+
+
+async def test_what_comes_of_a_launch_that_was_given_up_says_nothing_of_the_next(tmp_path, log):
+    # the host had taken the first when the word came that gives it up: its yes and its end come beside the second launch
+    streams, task = [], bytes.fromhex(A)
+
+    async def script(host, stream, frame):
+        if frame.type != Type.SETUP:
+            return True
+        streams.append(stream)
+        if len(streams) == 2:
+            for old in {id(old): old for old in host.streams}.values():
+                await old.send(release(task, 31))       # on any connection that is open
+            await stream.send(answer(task, "second"))
+            await stream.send(release(task, 31))
+        return True
+
+    async with ground(tmp_path, log, {"h1": Host(script)}) as g:
+        owner, host = await g.client(), g.hosts["h1"]
+        await owner.setup(A, left="6000")
+        assert (await owner.until("answer", A, 6.0))[3] == "second"
+        await owner.send("ping", B, cause=0)
+        await owner.until("pong", B)
+        assert len(host.sent(Type.SETUP)) == 2 and in_stock(g.service, "h1") == 1 and len(owner.said) == 2
+        await streams[1].send(release(task, 41))        # this one is about what stands
+        assert (await owner.until("release", A))[2] == 41
+
+
+# -- hosts that go, and connections to them
+
+
+class HeldBack(TcpNet):
+    """Connections to one address stand only once `come` is set."""
+
+    def __init__(self):
+        self.port, self.come, self.begun = 0, anyio.Event(), anyio.Event()
+
+    async def connect(self, address):
+        if address[1] == self.port:
+            self.begun.set()
+            await self.come.wait()
+        return await super().connect(address)
+
+
+async def test_what_waits_for_a_connection_to_a_host_that_goes_is_not_sent_there(tmp_path, log, monkeypatch):
+    # another host may listen at its address by then, cold
+    net = HeldBack()
+    async with ground(tmp_path, log, {"h1": Host(), "h2": Host()}, net=net) as g:
+        g.bus.tell(g.server("h2", "DRAINING"))
+        await g.within(2, lambda: g.service.engine.fleet.hosts["h2"].listed.mode is api.Mode.DRAINING)
+        net.port = g.hosts["h1"].port
+        owner = await g.client()
+        await owner.setup(A, "feed")
+        with anyio.fail_after(2):
+            await net.begun.wait()
+        g.bus.tell(g.server("h1", "DELETED"), g.server("h2"))
+        await g.within(2, lambda: "h1" in g.service.engine.fleet.gone or "h1" not in g.service.engine.fleet.hosts)
+        net.come.set()
+        await owner.until("answer", A)
+        assert not g.hosts["h1"].sent(Type.SETUP) and len(g.hosts["h2"].sent(Type.SETUP)) == 1
+
+
+async def test_a_connection_lost_while_jobs_stand_is_opened_again_though_others_serve(tmp_path, log):
+    # what the host said on the lost one it says again on the next that opens: with none, an end is never told
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        owner, host = await g.client(), g.hosts["h1"]
+        for n in range(8):
+            await owner.setup("%016x" % n)
+        for n in range(8):
+            await owner.until("answer", "%016x" % n)
+        await g.within(2, lambda: len(g.service.hosts["h1"].connections) > 1 and not g.service.hosts["h1"].opening)
+        known = list(host.streams)
+        await anyio.aclose_forcefully(known[0])
+        await g.within(2, lambda: any(stream not in known for stream in host.streams))
+        fresh, = [stream for stream in host.streams if stream not in known]
+        await fresh.send(release(bytes.fromhex("%016x" % 3), 16))
+        assert (await owner.until("release", "%016x" % 3))[2] == 16
+
+
+# -- client disconnect and cancellation
+
+
+@pytest.fixture
+def raw_owner():
+    """A connection of an owner that is written to and closed between two rounds of the loop."""
+    made = []
+
+    def connect(address):
+        made.append(socket.create_connection(address))
+        return made[-1]
+
+    yield connect
+    for one in made:
+        one.close()
+
+
+def setup_line(task, offering="web"):
+    return json.dumps({"type": "setup", "id": task, "sdp": SDP, "fields": {
+        "class": offering, "left": "3000", "tenant": "acme", "extras": "cores:1;memory:2;service:s"}}).encode() + b"\n"
+
+
+def release_line(task):
+    return json.dumps({"type": "release", "id": task, "fields": {}, "cause": 16}).encode() + b"\n"
+
+
+BAD = setup_line(B, "none")
+
+
+@pytest.mark.parametrize("how", ["cancels", "closes"])
+async def test_a_client_that_goes_behind_bad_messages_is_heard_at_once(tmp_path, log, raw_owner, how):
+    # each bad message costs its connection a pause, in which a host comes that the job waits for
+    async with ground(tmp_path, log, {"h1": Host(), "h2": Host()}) as g:
+        for name in g.hosts:
+            g.bus.tell(g.server(name, "DRAINING"))
+        await g.within(2, lambda: not g.service.engine.module.serving)
+        leaver, stayer = raw_owner(g.address), await g.client()
+        leaver.sendall(setup_line(A))
+        await g.within(2, lambda: A in g.service.route.tasks and g.service.route.tasks[A].job)
+        leaver.sendall(BAD * 15 + (release_line(A) if how == "cancels" else b""))
+        if how == "closes":
+            leaver.close()
+        await g.within(2, lambda: g.service.owners.counts["refused as read"] >= 1)
+        g.bus.tell(g.server("h1"))
+        await stayer.setup(C)
+        await stayer.until("answer", C)
+        assert [frame.task.hex() for frame in g.hosts["h1"].sent(Type.SETUP)] == [C]
+
+
+@pytest.mark.parametrize("how", ["cancels", "closes"])
+async def test_a_client_that_goes_during_a_long_turn_has_nothing_launched_after_it(
+        tmp_path, log, raw_owner, monkeypatch, how):
+    # the turn that decides on the launch reads nothing meanwhile: the word lies in the socket as the launch is written
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        stayer, leaver = await g.client(), raw_owner(g.address)
+        await stayer.setup(B)
+        await stayer.until("answer", B)
+        turn = g.service.engine.turn
+
+        def long_turn(now):
+            effects = turn(now)
+            if any(type(effect) is do.SendLaunch and effect.work[:8].hex() == A for effect in effects):
+                leaver.sendall(release_line(A))
+                if how == "closes":
+                    leaver.close()
+            return effects
+
+        monkeypatch.setattr(g.service.engine, "turn", long_turn)
+        leaver.sendall(setup_line(A))
+        await g.within(2, lambda: g.service.engine.counts["launches"] == 2)
+        await g.within(2, lambda: A not in g.service.route.tasks)
+        await stayer.setup(C)
+        await stayer.until("answer", C)
+        assert [frame.task.hex() for frame in g.hosts["h1"].sent(Type.SETUP)] == [B, C]
+
+
+async def test_a_client_that_closed_has_gone_before_its_socket_is_closed_here(tmp_path, log, monkeypatch):
+    held, close = anyio.Event(), Link.close
+
+    async def slow(link):
+        await held.wait()
+        await close(link)
+
+    async with ground(tmp_path, log, {"h1": Host(), "h2": Host()}) as g:
+        for name in g.hosts:
+            g.bus.tell(g.server(name, "DRAINING"))
+        await g.within(2, lambda: not g.service.engine.module.serving)
+        owner = await g.client()
+        await owner.setup(A)
+        await g.within(2, lambda: g.service.engine.taken)
+        monkeypatch.setattr(Link, "close", slow)
+        await owner.stream.aclose()
+        await g.within(2, lambda: not g.service.engine.taken)
+        assert g.service.owners.closing == 1 and g.service.descriptors.owners == 1     # it still holds one
+        held.set()
+        await g.within(2, lambda: not g.service.descriptors.owners)
+
+
+async def test_what_a_client_said_of_standing_jobs_counts_though_it_closed_at_once(tmp_path, log, raw_owner):
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        first, second = await g.client(), raw_owner(g.address)
+        await first.setup(A)
+        await first.until("answer", A)
+        second.sendall(BAD * 3 + json.dumps({"type": "release", "id": A, "fields": {}, "cause": 31}).encode() + b"\n")
+        second.close()
+        await g.within(2, lambda: not g.hosts["h1"].standing)
+
+
+# -- the closing of idle connections
+
+
+@pytest.mark.parametrize("said", ["ping", ""])
+async def test_a_set_up_that_lies_unread_as_its_connection_is_to_be_closed_is_taken(tmp_path, log, raw_owner, said):
+    # its owner sends it again only where it crosses the close within 50 ms; here it has lain for however long
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        owner = raw_owner(g.address)
+        if said:
+            owner.sendall(json.dumps({"type": "ping", "id": B, "fields": {}, "cause": 0}).encode() + b"\n")
+        await g.within(2, lambda: g.service.owners.links and (
+            not said or next(iter(g.service.owners.links.values())).usual))
+        link, = g.service.owners.links.values()
+        owner.sendall(setup_line(A))
+        assert not await g.service.owners.close_idle(link, "it says nothing of use")
+        await g.within(2, lambda: A in g.service.route.tasks and g.service.route.tasks[A].stands)
+
+
+# -- the event bus
+
+
+async def test_what_was_read_ahead_of_a_move_is_told(tmp_path, log, monkeypatch):
+    # the number went on, and the bus does not tell it again
+    second = Bus()
+    async with ground(tmp_path, log, {"h1": Host(), "h2": Host()}) as g:
+        await g.tasks.start(second.run)
+        monkeypatch.setattr(inbox, "MOST", 0)       # as full as can be: who waits for room in it waits
+        g.bus.tell(g.server("h2", "DRAINING"))
+        await g.within(2, lambda: g.service.feed.number == 2)
+        second.events = list(g.bus.events)
+        g.path.write_text(json.dumps(file_of(second.address, g.bus.known())))
+        g.service.reload()
+        monkeypatch.undo()
+        await g.within(2, lambda: second.calls)
+        assert second.calls[0] == 2
+        assert g.service.engine.fleet.hosts["h2"].listed.mode is api.Mode.DRAINING
+
+
+def test_a_batch_that_leaves_out_what_it_counts_is_read_again_from_the_start():
+    feed = bus.Feed(30)
+    with pytest.raises(bus.BadEvent):
+        feed.take(bus.Batch(41, []), 0.0)
+    feed.number = 0
+    assert feed.take(bus.Batch(41, []), 0.0) == [] and feed.number == 41       # no more is to be had: not asked for ever
+    assert feed.take(bus.Batch(30, []), 0.0) == [] and feed.number == 41       # an older one takes nothing back
+
+
+async def test_controllers_that_lose_the_bus_in_one_moment_come_back_in_different_ones():
+    polls = [bus.BusPoll(("127.0.0.1", 1), bus.Feed(), None, None, Random(seed), None) for seed in range(30)]
+    for poll in polls:
+        poll.fails = 3
+    pauses = sorted(poll.backoff() for poll in polls)
+    assert 0.5 * 3 * bus.PAUSE <= pauses[0] and pauses[-1] <= 3 * bus.PAUSE
+    assert pauses[-1] - pauses[0] > bus.PAUSE and len(set(pauses)) == 30
