--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -132,9 +132,8 @@
             self.let_go(owner, type(error).__name__)
 
     async def shed(self) -> None:
-        """Guards against connections that use up the descriptors: closes idle ones while there are too many. Those go
-        first that have had time to speak and have said nothing, then those with nothing open, unheard for longest, then
-        new ones; one with a set-up open never."""
+        """Guards against connections that use up the descriptors: closes idle ones while there are too many, by `rank`;
+        one with a set-up open never."""
         while True:
             await self.descriptors.until_crowded()
             able = [owner for owner in self.links.values() if self.idle(owner)]
@@ -150,8 +149,9 @@
         return owner.number not in self.route.open and not owner.lines and owner.number in self.links
 
     def rank(self, owner: OwnerLink) -> tuple:
+        """Those of least use first: silent, without a job that ever stood, with one, new; then unheard for longest."""
         new = not owner.usual and anyio.current_time() - owner.began <= TO_SPEAK
-        return (2 if new else int(owner.usual)), owner.heard_at
+        return 3 if new else int(owner.usual) + int(owner.served), owner.heard_at
 
     async def close_idle(self, owner: OwnerLink, why: str) -> bool:
         """Closes what is idle, unless a set-up lies unread in its socket, where a late loop has left it for longer than
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -58,7 +58,7 @@
                 self.tasks.start_soon(self.bus.run)
                 self.tasks.start_soon(self.tell)
                 address = await self.tasks.start(self.owners.run, setup.listen)
-                self.log.info("takes jobs", hosts=len(self.hosts), events=self.feed.number)
+                self.log.info("takes jobs", address="%s:%d" % address, hosts=len(self.hosts), events=self.feed.number)
                 task_status.started(address)
                 await self.turn_until_left()
                 self.tasks.cancel_scope.cancel()
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -146,6 +146,7 @@
 
     def __init__(self, stream):
         self.stream, self.said, self.closed, self.came = stream, [], anyio.Event(), anyio.Event()
+        self.one = anyio.Lock()
 
     async def read(self):
         reader = owners.LineReader()
@@ -160,10 +161,11 @@
 
     async def send(self, kind, task, cause=None, sdp=None, **fields):
         line = {"type": kind, "id": task, "fields": fields, "cause": cause, "sdp": sdp}
-        await self.stream.send(json.dumps({k: v for k, v in line.items() if v is not None}).encode() + b"\n")
+        async with self.one:
+            await self.stream.send(json.dumps({k: v for k, v in line.items() if v is not None}).encode() + b"\n")
 
-    async def setup(self, task, offering="web", at="", left="3000", **fields):
-        extras = "cores:1;memory:2;service:s" + (f";at:{at}" if at else "")
+    async def setup(self, task, offering="web", at="", left="3000", service="s", cores=1, **fields):
+        extras = f"cores:{cores};memory:2;service:{service}" + (f";at:{at}" if at else "")
         await self.send("setup", task, sdp=SDP, left=left, tenant="acme", key="k", extras=extras, **{"class": offering} | fields)
 
     async def until(self, kind, task, within=3.0):
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -3,17 +3,20 @@
 
 import io
 import json
+import os
+import signal
 import socket
 from random import Random
 
 import anyio
+import anyio.to_thread
 import pytest
 
 from linedeal import interface as api
 from linedeal.engine import effects as do
 from linedeal.loop import inbox
 from linedeal.net import Link, TcpNet
-from linedeal.platform import bus, hosts, hostlink
+from linedeal.platform import bus, service
 from linedeal.platform.hosts import Type
 from linedeal.platform.log import Log
 from tests.platform import SDP, Bus, Host, answer, file_of, ground, in_stock, release
@@ -300,3 +303,61 @@
     pauses = sorted(poll.backoff() for poll in polls)
     assert 0.5 * 3 * bus.PAUSE <= pauses[0] and pauses[-1] <= 3 * bus.PAUSE
     assert pauses[-1] - pauses[0] > bus.PAUSE and len(set(pauses)) == 30
+
+
+# -- graceful shutdown
+
+
+async def test_a_service_told_to_end_waits_for_a_client_that_reads_late(tmp_path, log, monkeypatch):
+    # its answer is queued behind a write that goes on: ending then would lose it with its connection
+    monkeypatch.setattr(service, "COMING", 0.2)
+    flushed, read = [], anyio.Event()
+    async with ground(tmp_path, log, {"h1": Host(silent)}) as g:
+        owner = await g.client()
+        await owner.setup(A, left="600")
+        await g.within(2, lambda: g.service.engine.taken)
+        link, = g.service.owners.links.values()
+        send, flush = link.link.send, g.service.owners.flush
+
+        async def held(data, within):
+            await read.wait()
+            await send(data, within)
+
+        async def counted(within):
+            await flush(within)
+            flushed.append(within)
+            if len(flushed) == 3:       # it has been ready to end twice over
+                read.set()
+
+        link.link.send, g.service.owners.flush = held, counted
+        os.kill(os.getpid(), signal.SIGTERM)
+        os.kill(os.getpid(), signal.SIGHUP)     # a reload meanwhile, and a second word to end, change nothing
+        os.kill(os.getpid(), signal.SIGTERM)
+        await owner.until("release", A, 4.0)
+        await g.within(2, owner.closed.is_set)
+
+
+async def test_a_set_up_that_lies_unread_as_the_service_is_about_to_end_is_answered(tmp_path, log, monkeypatch, raw_owner):
+    monkeypatch.setattr(service, "COMING", 0.2)
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        owner, flush = raw_owner(g.address), g.service.owners.flush
+        sent = []
+
+        async def and_then(within):
+            await flush(within)
+            if not sent:        # accepted or in the backlog, and not a byte of it read
+                late = raw_owner(g.address)
+                for one in (owner, late):
+                    one.sendall(setup_line("%016x" % len(sent)))
+                    sent.append(one)
+
+        g.service.owners.flush = and_then
+        os.kill(os.getpid(), signal.SIGTERM)
+        await g.within(3, lambda: len(sent) == 2)
+        for one in sent:        # by now it takes no more, and says so
+            one.settimeout(2)
+            assert b'"cause":34' in await anyio.to_thread.run_sync(one.recv, 4096)
+
+
+async def silent(host, stream, frame):
+    return frame.type == Type.SETUP
