Keep a labelled repeat from leaving after its window; slow start in turns that chance sets

Launch now tells until when it may leave, and both routes look as they write. Test: labelled, window 200 ms, the dial held until it is over; fails without the look.

--- a/linedeal/controller/hostlink.py
+++ b/linedeal/controller/hostlink.py
@@ -182,6 +182,9 @@
                     # guards against a host that started again since: what was meant for a warm host would all reach
                     # a cold one at once, past the gate that paces sends to young hosts
                     self.inbox.put(on.Unsent(self.listed.id, (number,)))
+                case do.SendLaunch(_, number) if effect.leave_by <= now:
+                    # guards against a repeat of a labelled job that waited here until its mark was forgotten
+                    self.inbox.put(on.Unsent(self.listed.id, (number,)))
                 case do.SendLaunch(_, number, job, due):
                     numbers.append(number)
                     data += encode(pb.Offer(launch=self.own(number), job=translate.spec_of(job, effect.work),
--- a/linedeal/engine/effects.py
+++ b/linedeal/engine/effects.py
@@ -45,6 +45,7 @@
     boot: int                   # of the host, as it was known when this was decided
     keep: bool = False          # to be on disk before its first byte leaves
     work: bytes = b""
+    leave_by: float = float("inf")  # its first byte leaves before then, or it does not leave
 
 
 @dataclass(frozen=True, slots=True)
--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -146,8 +146,8 @@
     def act(self, actions) -> None:
         for action in list(actions):
             match action:
-                case api.Launch(job, host, wait):
-                    self.launch(job, host, wait)
+                case api.Launch(job, host, wait, leave):
+                    self.launch(job, host, wait, self.now + leave)
                 case api.Reject(job):
                     self.answer(job, do.Verdict.REJECTED)
                 case api.WriteOff(job):
@@ -287,7 +287,7 @@
 
     # -- launches
 
-    def launch(self, job_id: str, host: str, wait: float) -> None:
+    def launch(self, job_id: str, host: str, wait: float, leave_by: float = float("inf")) -> None:
         taken, record = self.taken.get(job_id), self.fleet.hosts.get(host)
         if taken is None or job_id in self.by_job:
             raise BrokenPromise(f"a launch of {job_id}, which is {'out' if taken else 'answered'} already")
@@ -302,7 +302,7 @@
         self.counts["launches"] += 1
         self.timers.arm(launch.due, "launch", launch.id)
         self.out.append(do.SendLaunch(host, launch.id.number, taken.job, launch.due, record.listed.boot,
-                                      launch.kept, taken.work))
+                                      launch.kept, taken.work, leave_by))
 
     def stop(self, launch: Launch) -> None:
         self.out.append(do.SendStop(launch.host, launch.id))
--- a/linedeal/interface.py
+++ b/linedeal/interface.py
@@ -200,6 +200,7 @@
     job: str
     host: str
     wait: float
+    leave: float = float("inf")     # seconds within which it has to leave, or must not leave any more
 
 
 @dataclass(frozen=True, slots=True)
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -78,7 +78,7 @@
         self.wake = anyio.Event()
         self.scope = anyio.CancelScope()
         self.opening = False
-        self.reopen = False             # one was lost while jobs stood: what the host said on it comes again on the next
+        self.reopen = False             # one was lost while jobs stood: what the host said there comes on the next
         self.heard_at = 0.0
         self.shut_until = 0.0           # no further connection before, others serve
         self.refusals = 0
@@ -188,8 +188,8 @@
                         self.tasks.start_soon(self.open)
 
     def best(self, task: bytes | None = None) -> Connection | None:
-        """The least busy. For a launch, None where none may carry it: a word is known to be about this launch, and no copy
-        of one about an earlier launch of the same task, because no connection ever carries two set-ups of one task."""
+        """The least busy. For a launch, None where none may carry it: no connection ever carries two set-ups of one
+        task, which is how a word is known to be about this launch and no copy of one about an earlier launch."""
         fit = [c for c in self.connections if not c.shut and task not in c.carried]
         if task is None and not fit:
             return self.connections[0] if self.connections else None
@@ -329,10 +329,7 @@
                 connection.probes[probe] = effect.number
                 data += hosts.encode(Type.PING, probe, hosts.parameter(Code.CAUSE, b"\x01"))
                 asks = True
-            elif effect.boot != self.listed.boot or self.listed.mode is not Mode.SERVING or effect.due <= now or (
-                    not self.wanted(effect.work[:8])):
-                # what it was decided on holds no more: a host that started again is cold, one that drains takes nothing,
-                # nobody waits for the job of an owner that has gone
+            elif self.stale(effect, now):
                 self.hand_back([effect])
             else:
                 connection.unsent.discard(effect.number)
@@ -346,6 +343,12 @@
             connection.asked_at = now
         return bytes(data)
 
+    def stale(self, effect: do.SendLaunch, now: float) -> bool:
+        """Whether what it was decided on holds no more: a host that started again is cold, one that drains takes nothing,
+        the mark of a labelled job that may have run is forgotten, nobody waits for the job of an owner that has gone."""
+        return (effect.boot != self.listed.boot or self.listed.mode is not Mode.SERVING
+                or now >= min(effect.due, effect.leave_by) or not self.wanted(effect.work[:8]))
+
     async def read(self, connection: Connection) -> None:
         while True:
             frames = await connection.link.receive_all()
--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -135,15 +135,14 @@
 
 class Controller:
     def __init__(self, settings, seed, now):
-        self.s, self.random = settings, Random(seed)
+        self.s, self.random, late = settings, Random(seed), LATE_LIST * (1 - 1 / settings.controllers)
         self.now = self.begun = self.heard_list = self.load_due = self.came = now
         self.hosts, self.tracks, self.services, self.waiting = {}, {}, {}, {}
         self.held = {customer: 0.0 for customer in settings.quotas}
         self.usual = {name: Service(UNKNOWN_USE, UNKNOWN_MEMORY) for name in settings.offerings}
         self.calm = min((o.calm for o in settings.offerings.values()), default=1.0) + CALM_MARGIN
         self.gap = 1.0              # seconds between own jobs, lately
-        self.bounds = (settings.accepts_cores, settings.accepts_memory,
-                       LATE_LIST * (1 - 1 / settings.controllers), self.calm)
+        self.bounds = settings.accepts_cores, settings.accepts_memory, late, self.calm
         self.use_ratio, self.mean_asked = (UNKNOWN_USE, UNKNOWN_USE), (0.5, 0.5)
         self.serving = self.asks = 0    # hosts that take jobs; lists that failed in a row
         self.room_made, self.paced = False, NEVER   # paced: when the next slot of a young host comes
@@ -451,28 +450,23 @@
             return False
         if len(host.jobs) >= CROWD:     # guards against jobs that ask next to nothing: each costs the others
             return False
-        if track.risk:
-            first, at = track.risk
-            if offering.effect is Effect.IRREVERSIBLE:
+        if track.risk and offering.effect is not Effect.REDOABLE:
+            first = track.risk[0]
+            if offering.effect is Effect.IRREVERSIBLE or first is None or self.now >= forgotten(track) or (
+                    place_of(offering.group, first) != place_of(offering.group, host)):
                 return False
-            if offering.effect is Effect.LABELLED:
-                over = at + offering.window - LAST_MOMENT
-                if self.now >= over or first is None or (
-                        place_of(offering.group, first) != place_of(offering.group, host)):
-                    return False
         if entry.booted and self.now < entry.booted + self.s.cold_time:
             if self.now < self.begun + self.s.young_span:   # an earlier life's sends there are not known
                 return False
             span, part = self.s.young_span * YOUNG_SPAN, self.s.young_limit * YOUNG_SHARE / self.s.controllers
-            if part < 1.0:  # one each, in turns that each one's own chance has set: else all come at once
-                host.slot = self.random.uniform(0.0, span / part) if host.slot is None else host.slot
-                since = (self.now - host.slot) % (span / part)
-                if since >= SLOT * span:
-                    self.paced = min(self.paced, self.now + span / part - since)
-                    return False
+            if part < 1.0 and host.slot is None:    # one each, in turns set by chance: else all come at once
+                host.slot = self.random.uniform(0.0, span / part)
+            since = 0.0 if host.slot is None else (self.now - host.slot) % (span / part)
             while host.sends and host.sends[0] <= self.now - span:
                 host.sends.popleft()
-            if len(host.sends) + 1 > max(1.0, part):
+            if since >= SLOT * span or len(host.sends) + 1 > max(1.0, part):
+                if part < 1.0:      # not at each one's very moment: with many young hosts that would be always
+                    self.paced = min(self.paced, self.now + max(span / part - since, SLOT * span / 2))
                 return False
         if offering.place is not Place.NONE:
             if track.service.there.get(place_of(offering.place, host), 0) >= offering.most:
@@ -493,7 +487,7 @@
         track.answer_due = self.now + late
         host.sends.append(self.now)
         self.hold(track, host)
-        self.out.append(api.Launch(track.job.id, host.entry.id, wait))
+        self.out.append(api.Launch(track.job.id, host.entry.id, wait, forgotten(track) - self.now))
 
     def hold(self, track, host):
         track.host, track.place = host, place_of(track.offering.place, host)
@@ -638,8 +632,7 @@
             return
         host.fails, host.silent_until = 0, min(host.silent_until, self.now)
         if sound(report.get("idle_cores"), report.get("idle_memory"), least=-NEVER):
-            own = host.own
-            host.used_heard = self.now
+            own, host.used_heard = host.own, self.now
             host.used = blend(host.used, (host.size.cores - report["idle_cores"] - own[2],
                                           host.size.memory - report["idle_memory"] - own[3]))
             host.load = None
@@ -652,8 +645,7 @@
         self.out.append(api.Subscribe())
 
     def listed(self, entries, whole, remembered):
-        if not remembered:
-            self.asks = 0
+        self.asks = self.asks if remembered else 0
         self.heard_list = self.now
         if whole:
             named = {entry.id for entry in entries}
@@ -695,6 +687,12 @@
     return all(figure is not None and least <= figure < NEVER and figure != -NEVER for figure in figures)
 
 
+def forgotten(track):
+    """When the hosts that drop repeats of a labelled job that may have run forget it."""
+    labelled = track.risk and track.offering.effect is Effect.LABELLED
+    return track.risk[1] + track.offering.window - LAST_MOMENT if labelled else NEVER
+
+
 def least_change(offers):
     least = min(offer[0] for offer in offers)
     return [offer for offer in offers if offer[0] == least]
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -19,7 +19,7 @@
 from linedeal.platform import bus, service
 from linedeal.platform.hosts import Type
 from linedeal.platform.log import Log
-from tests.platform import SDP, Bus, Host, answer, file_of, ground, in_stock, release
+from tests.platform import SDP, SETUP, Bus, Host, answer, file_of, ground, in_stock, release
 
 pytestmark = pytest.mark.anyio
 A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
@@ -124,6 +124,33 @@
         assert not g.hosts["h1"].sent(Type.SETUP) and len(g.hosts["h2"].sent(Type.SETUP)) == 1
 
 
+async def test_a_labelled_job_that_may_have_run_does_not_leave_once_its_mark_is_forgotten(tmp_path, log):
+    # decided on within the window, its launch waits for a connection that stands only after it
+    net, ran = HeldBack(), []
+
+    async def script(host, stream, frame):
+        if frame.type == Type.SETUP:
+            ran.append(anyio.current_time())
+            await anyio.aclose_forcefully(stream)
+            return True
+
+    classes = [item | {"window_ms": 200.0} for item in SETUP["classes"]]
+    async with ground(tmp_path, log, {"h1": Host(script), "h2": Host()}, net=net, setup=SETUP | {"classes": classes}) as g:
+        g.bus.tell(g.server("h2", "DRAINING"))
+        await g.within(2, lambda: g.service.engine.fleet.hosts["h2"].listed.mode is api.Mode.DRAINING)
+        net.port = g.hosts["h2"].port
+        owner = await g.client()
+        await owner.setup(A, "mail")
+        await g.within(2, lambda: ran)
+        g.bus.tell(g.server("h2"))
+        with anyio.fail_after(1):
+            await net.begun.wait()      # decided on
+        await g.within(1, lambda: anyio.current_time() > ran[0] + 0.2)
+        net.come.set()
+        assert (await owner.until("release", A, 5.0))[2] == 47
+        assert not g.hosts["h2"].sent(Type.SETUP)
+
+
 async def test_a_connection_lost_while_jobs_stand_is_opened_again_though_others_serve(tmp_path, log):
     # what the host said on the lost one it says again on the next that opens: with none, an end is never told
     async with ground(tmp_path, log, {"h1": Host()}) as g:
