--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -465,8 +465,8 @@
             while host.sends and host.sends[0] <= self.now - span:
                 host.sends.popleft()
             if since >= SLOT * span or len(host.sends) + 1 > max(1.0, part):
-                if part < 1.0:      # not at each one's very moment: with many young hosts that would be always
-                    self.paced = min(self.paced, self.now + max(span / part - since, SLOT * span / 2))
+                if part < 1.0:
+                    self.paced = min(self.paced, self.now + span / part - since + SLOT * span / 2)
                 return False
         if offering.place is not Place.NONE:
             if track.service.there.get(place_of(offering.place, host), 0) >= offering.most:
