--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(PY) -m linedeal day examples/bad-day.day
 
 test: $(READY)
-	$(PY) -m pytest
+	$(PY) -m pytest $(TESTS)
 
 $(READY): pyproject.toml
 	test -x $(PY) || python3 -m venv .venv
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -30,6 +30,7 @@
 LOST_AFTER = 6.0        # seconds out of reach after which what stands there counts as lost
 RETRY = 0.2             # seconds between two tries for standing jobs' sake
 REFUSALS = 2            # refused connections in a row that show a dead process
+IDLE_TALK = 2000        # answers and releases on end that mean nothing, as second copies and unknown tasks
 IDLE_SHARE = 0.6        # of the idle time after which hosts close, after which we do
 WHY = dict(zip(("nc", "nm", "nq", "nh", "ev", "pre", "dr"), (REASONS[number] for number in range(1, 8))))
 NOTE_NAMES = dict(zip(("live", "c", "m", "s", "p"), (NOTES[number] for number in range(1, 6))))
@@ -50,6 +51,7 @@
         self.used_at = now
         self.asked_at = 0.0                     # the first set-up or test since it was last heard; 0: none
         self.unfinished_at = 0.0
+        self.idle_talk = 0                      # answers and releases since the last that meant something
         self.shut = False                       # takes no launch any more
 
     def queue(self, effect) -> None:
@@ -344,8 +346,8 @@
         return bytes(data)
 
     def stale(self, effect: do.SendLaunch, now: float) -> bool:
-        """Whether what it was decided on holds no more: a host that started again is cold, one that drains takes nothing,
-        the mark of a labelled job that may have run is forgotten, nobody waits for the job of an owner that has gone."""
+        """Whether what it was decided on holds no more: a host that started again is cold, one that drains takes
+        nothing, a labelled job's mark is forgotten, nobody waits for the job of an owner that has gone."""
         return (effect.boot != self.listed.boot or self.listed.mode is not Mode.SERVING
                 or now >= min(effect.due, effect.leave_by) or not self.wanted(effect.work[:8]))
 
@@ -364,9 +366,14 @@
                     break
                 if event is not None:
                     events.append(event)
+                    connection.idle_talk = 0
+                elif frame.type in (Type.ANSWER, Type.RELEASE):
+                    connection.idle_talk += 1
             await self.inbox.post(*events)
             if fault is not None:
                 raise LinkLost(f"bad frame: {fault}")
+            if connection.idle_talk > IDLE_TALK:    # guards against one that takes the loop from all others
+                raise LinkLost(f"{connection.idle_talk} answers on end to nothing that is out")
 
     async def mind(self, connection: Connection) -> None:
         """Ends a connection that is of no more use; what hangs, cut off or spoilt looks like this."""
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -14,6 +14,7 @@
 
 from linedeal import interface as api
 from linedeal.engine import effects as do
+from linedeal.engine.launches import State
 from linedeal.loop import inbox
 from linedeal.net import Link, TcpNet
 from linedeal.platform import bus, service
@@ -151,6 +152,70 @@
         assert not g.hosts["h2"].sent(Type.SETUP)
 
 
+async def test_a_launch_is_given_up_only_once_its_connection_is_closed(tmp_path, log, monkeypatch):
+    # given up as soon as the connection is known to be of no use, it would be launched elsewhere with its set-up still out
+    held, close = anyio.Event(), Link.close
+
+    async def slow(link):
+        await held.wait()
+        await close(link)
+
+    async def garbles(host, stream, frame):
+        if frame.type == Type.SETUP:
+            monkeypatch.setattr(Link, "close", slow)
+            await stream.send(b"\xff" * 40)
+            return True
+
+    async with ground(tmp_path, log, {"h1": Host(garbles), "h2": Host()}) as g:
+        g.bus.tell(g.server("h2", "DRAINING"))
+        await g.within(2, lambda: g.service.engine.fleet.hosts["h2"].listed.mode is api.Mode.DRAINING)
+        owner, engine = await g.client(), g.service.engine
+        await owner.setup(A)
+        await g.within(2, lambda: g.hosts["h1"].sent(Type.SETUP))
+        g.bus.tell(g.server("h2"))
+        await g.within(2, lambda: any(launch.state is State.RECALLED for launch in engine.launches.values()))
+        await owner.send("ping", B, cause=0)
+        await owner.until("pong", B)
+        assert not g.hosts["h2"].sent(Type.SETUP)
+        held.set()
+        await owner.until("answer", A)
+
+
+async def test_an_answer_that_comes_with_the_close_counts(tmp_path, log):
+    async def and_closes(host, stream, frame):
+        if frame.type == Type.SETUP:
+            await stream.send(answer(frame.task))
+            await stream.aclose()
+            return True
+
+    async with ground(tmp_path, log, {"h1": Host(and_closes)}) as g:
+        owner = await g.client()
+        await owner.setup(A, "feed")
+        assert (await owner.until("answer", A))[3] == SDP + "host\r\n"
+
+
+async def test_a_host_that_speaks_without_end_of_nothing_loses_that_connection_alone(tmp_path, log):
+    async def raves(host, stream, frame):
+        if frame.type == Type.SETUP and frame.task == bytes.fromhex(A):
+            try:
+                while True:
+                    await stream.send(answer(b"\x77" * 8) * 200)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                return True
+
+    async with ground(tmp_path, log, {"h1": Host(raves), "h2": Host()}) as g:
+        g.bus.tell(g.server("h2", "DRAINING"))
+        await g.within(2, lambda: g.service.engine.fleet.hosts["h2"].listed.mode is api.Mode.DRAINING)
+        owner = await g.client()
+        await owner.setup(A)
+        await g.within(2, lambda: g.hosts["h1"].sent(Type.SETUP))
+        g.bus.tell(g.server("h2"))
+        await owner.setup(B, service="other")
+        await owner.until("answer", B)
+        await owner.until("answer", A, 5.0)
+        assert not any(connection.out for connection in g.service.hosts["h1"].connections)
+
+
 async def test_a_connection_lost_while_jobs_stand_is_opened_again_though_others_serve(tmp_path, log):
     # what the host said on the lost one it says again on the next that opens: with none, an end is never told
     async with ground(tmp_path, log, {"h1": Host()}) as g:
