Take a host's one yes as the yes where the settings say that it comes once the job runs

Ruled out: the connections of one task (the set-ups followed the end), given-up launches (none before). Test: the whole course with confirms = running; platform, races and engine tests pass.

--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -421,7 +421,8 @@
         launch = self.find(event.host, event.launch)
         if launch is None:
             self.out.append(do.SendStop(event.host, event.launch))  # nobody waits for it, nobody counts it
-        elif not self.cluster.settings.starts_confirmed:
+        elif not self.cluster.settings.starts_confirmed or not self.accounts_given:
+            # hosts that give no account say yes once, as they accept or as the job runs: the settings tell which
             launch.said = event.said
             if event.instead and launch.state is State.RECALLED:
                 launch.state = State.OUT
--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -141,8 +141,7 @@
                 await anyio.sleep(FLUSHED)
             elif await self.close_idle(min(able, key=self.rank), "too many connections"):
                 self.counts["shed"] += 1
-                while self.closing:     # counted until its socket is closed, which takes some rounds of the loop
-                    await anyio.sleep(0)
+                await self.closed()     # it counts until its socket is closed
 
     def idle(self, owner: OwnerLink) -> bool:
         """It may be closed: nothing that it has brought is open, as far as has been read."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,7 +15,7 @@
 from linedeal.platform import config, hostlink, hosts, service
 from linedeal.platform.hosts import Code, Type
 from linedeal.platform.log import Log
-from tests.platform import SDP, Host, answer, file_of, ground, in_stock, late, parsed, release
+from tests.platform import SDP, SETUP, Host, answer, file_of, ground, in_stock, late, parsed, release
 
 pytestmark = pytest.mark.anyio
 A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
@@ -80,6 +80,23 @@
         assert in_stock(g.service, "h1") == 0 and not g.service.route.tasks and not g.service.hosts["h1"].tasks_of
 
 
+async def test_a_job_has_its_whole_course_where_hosts_say_yes_once_it_runs(tmp_path, log):
+    # guards against an answer that is waited for a second time: the owner never had one, and what ended ran again
+    setup = SETUP | {"domain": SETUP["domain"] | {"confirms": "running"}}
+    async with ground(tmp_path, log, {"h1": Host()}, setup=setup) as g:
+        owner, host = await g.client(), g.hosts["h1"]
+        for task, cause in ((A, 16), (B, 41)):
+            await owner.setup(task)
+            assert (await owner.until("answer", task))[3] == SDP + "host\r\n"
+            track, = g.service.engine.module.hosts["h1"].jobs.values()
+            assert track.confirmed and track.started
+            await host.streams[0].send(release(bytes.fromhex(task), cause))
+            assert (await owner.until("release", task))[2] == cause
+        await owner.send("ping", C, cause=0)
+        await owner.until("pong", C)
+        assert len(host.sent(Type.SETUP)) == 2 and in_stock(g.service, "h1") == 0
+
+
 async def test_an_end_reaches_its_owner_by_a_connection_that_serves(tmp_path, log):
     # guards against releases that leave on the newest connection: a bad client passes nothing on
     async with ground(tmp_path, log, {"h1": Host()}) as g:
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -331,6 +331,24 @@
         await g.within(2, lambda: not g.service.descriptors.owners)
 
 
+async def test_a_yes_for_a_client_that_goes_in_the_same_turn_is_ended_at_its_host(tmp_path, log, monkeypatch):
+    # the engine has answered it, and no owner knows of what stands
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        owner, turn = await g.client(), g.service.engine.turn
+
+        def and_goes(now):
+            effects = turn(now)
+            if any(type(effect) is do.Answer for effect in effects):
+                for link in list(g.service.owners.links.values()):
+                    g.service.owners.let_go(link, "closed by the other side")
+            return effects
+
+        monkeypatch.setattr(g.service.engine, "turn", and_goes)
+        await owner.setup(A)
+        await g.within(2, lambda: g.hosts["h1"].sent(Type.RELEASE))
+        await g.within(2, lambda: not g.hosts["h1"].standing and not in_stock(g.service, "h1"))
+
+
 async def test_what_a_client_said_of_standing_jobs_counts_though_it_closed_at_once(tmp_path, log, raw_owner):
     async with ground(tmp_path, log, {"h1": Host()}) as g:
         first, second = await g.client(), raw_owner(g.address)
