Remember a task for as long as its launch is out; that it was forgotten ended the program

Not followed by log; found by reading what can raise: mind() dropped carried[task] at the job's expiry, stop() and the end of serve() read it for a launch that is still out then, which needs a loop that stood still for 0.25 s (engine.ring gives up BREATH later). Test with every timer taken as late: KeyError without the mend.

--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -397,7 +397,7 @@
                     now - connection.used_at > LOOK):
                 raise LinkLost("idle, and its descriptor is wanted")
             for spent in connection.carried, self.unsettled:
-                for task in [task for task, until in spent.items() if until <= now]:
+                for task in [task for task, until in spent.items() if until <= now and task not in connection.out]:
                     del spent[task]
             if last and not connection.asked_at and now - self.heard_at > QUIET:
                 connection.asked_at = now
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -14,10 +14,11 @@
 
 from linedeal import interface as api
 from linedeal.engine import effects as do
+from linedeal.engine import engine
 from linedeal.engine.launches import State
 from linedeal.loop import inbox
 from linedeal.net import Link, TcpNet
-from linedeal.platform import bus, service
+from linedeal.platform import bus, hostlink, service
 from linedeal.platform.hosts import Type
 from linedeal.platform.log import Log
 from tests.platform import SDP, SETUP, Bus, Host, answer, file_of, ground, in_stock, release
@@ -169,11 +170,11 @@
     async with ground(tmp_path, log, {"h1": Host(garbles), "h2": Host()}) as g:
         g.bus.tell(g.server("h2", "DRAINING"))
         await g.within(2, lambda: g.service.engine.fleet.hosts["h2"].listed.mode is api.Mode.DRAINING)
-        owner, engine = await g.client(), g.service.engine
+        owner, launches = await g.client(), g.service.engine.launches
         await owner.setup(A)
         await g.within(2, lambda: g.hosts["h1"].sent(Type.SETUP))
         g.bus.tell(g.server("h2"))
-        await g.within(2, lambda: any(launch.state is State.RECALLED for launch in engine.launches.values()))
+        await g.within(2, lambda: any(launch.state is State.RECALLED for launch in launches.values()))
         await owner.send("ping", B, cause=0)
         await owner.until("pong", B)
         assert not g.hosts["h2"].sent(Type.SETUP)
@@ -181,6 +182,20 @@
         await owner.until("answer", A)
 
 
+async def test_a_launch_that_is_out_as_its_job_expires_is_given_up_like_any_other(tmp_path, log, monkeypatch):
+    # a loop that stood still gives launches up late: what is remembered of a task until its job expires was dropped with
+    # the launch still out, and that ended the program
+    monkeypatch.setattr(hostlink, "LOOK", 0.001)
+    monkeypatch.setattr(engine, "STALL_SEEN", -1.0)
+    async with ground(tmp_path, log, {"h1": Host(silent)}) as g:
+        owner = await g.client()
+        await owner.setup(A, "feed", left="300")
+        await owner.until("release", A)
+        await g.within(2, lambda: g.hosts["h1"].sent(Type.RELEASE))
+        await owner.send("ping", C, cause=0)
+        await owner.until("pong", C)
+
+
 async def test_an_answer_that_comes_with_the_close_counts(tmp_path, log):
     async def and_closes(host, stream, frame):
         if frame.type == Type.SETUP:
