Count the time that a set-up lay unread as time that its job has had

Ruled out: long turns (none over 0.05 s in the busiest controller), answers late by our own reckoning (none by 0.2 s). A beat of the loop now tells how late it is. Test: the loop stands still for 0.4 s with a set-up in its socket, with and without bad messages ahead of it; fails without.

--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from linedeal.loop import Inbox
+from linedeal.loop import Inbox, Lateness
 from linedeal.net import Address, Link, LinkLost, Net, read_what_came
 from linedeal.platform.descriptors import Descriptors
 from linedeal.platform.owners import Line, LineReader
@@ -31,7 +31,7 @@
         self.served = False             # it has brought a job that stands, now or before: a host knows its owner's jobs
         self.bad = 0
         self.unfinished_at = 0.0        # since when a line lacks its end
-        self.lines: deque[Line] = deque()       # read, and not taken yet
+        self.lines: deque[tuple[Line, float]] = deque()     # read, and not taken yet; since when they have lain here
         self.came = anyio.Event()
         self.room = anyio.Event()
         self.outbox: list[tuple[bytes, bool]] = []      # what is to be written, and whether it is about what stands
@@ -43,9 +43,10 @@
 
 
 class Owners:
-    def __init__(self, route: Route, net: Net, inbox: Inbox, descriptors: Descriptors, next_number, log):
-        self.route, self.net, self.inbox, self.descriptors, self.next_number, self.log = (
-            route, net, inbox, descriptors, next_number, log)
+    def __init__(self, route: Route, net: Net, inbox: Inbox, descriptors: Descriptors, lateness: Lateness, next_number,
+                 log):
+        self.route, self.net, self.inbox, self.descriptors, self.lateness, self.next_number, self.log = (
+            route, net, inbox, descriptors, lateness, next_number, log)
         self.links: dict[int, OwnerLink] = {}
         self.closing = 0                # let go of, their sockets not closed yet
         self.waiting: deque[bytes] = deque(maxlen=WAITING)
@@ -111,10 +112,10 @@
         self.closing += 1
         owner.why = why
         owner.scope.cancel()
-        for line in owner.lines:
+        for line, came in owner.lines:
             if self.route.outlives(line):
                 try:
-                    self.hear(owner, line)
+                    self.hear(owner, line, came)
                 except LinkLost:
                     pass        # it ends in any case
         self.inbox.put(self.route.client_left(owner.number))
@@ -171,21 +172,22 @@
                 # again by its owner, who sees no answer on this one
                 return
             owner.heard_at = anyio.current_time()
+            came = owner.heard_at - self.lateness.now()
             for line in lines:
                 if line.type == "release" and line.id in self.route.tasks and not line.fault and not any(
-                        ahead.id == line.id for ahead in owner.lines):
-                    self.hear(owner, line)      # a cancel waits for nothing ahead of it
+                        ahead.id == line.id for ahead, _ in owner.lines):
+                    self.hear(owner, line, came)    # a cancel waits for nothing ahead of it
                 else:
-                    owner.lines.append(line)
+                    owner.lines.append((line, came))
             owner.came.set()
             while len(owner.lines) > AHEAD:
                 owner.room = anyio.Event()
                 await owner.room.wait()
 
-    def hear(self, owner: OwnerLink, line: Line) -> Heard:
+    def hear(self, owner: OwnerLink, line: Line, came: float) -> Heard:
         """Raises LinkLost."""
         try:
-            heard = self.route.heard(owner.number, line)
+            heard = self.route.heard(owner.number, line, anyio.current_time() - came)
         except Unwelcome as error:
             self.counts["closed on"] += 1
             raise LinkLost(str(error)) from None
@@ -202,7 +204,7 @@
             owner.came = anyio.Event()
             while owner.lines:
                 await self.inbox.ready()
-                if self.hear(owner, owner.lines.popleft()).usual is False:
+                if self.hear(owner, *owner.lines.popleft()).usual is False:
                     await self.unusual(owner)
                 owner.room.set()
 
--- a/linedeal/platform/route.py
+++ b/linedeal/platform/route.py
@@ -8,6 +8,7 @@
 from linedeal.platform import hosts, owners
 from linedeal.platform.hosts import Code
 
+LEFT_LEAST = 0.001      # seconds
 PASSED_OVER = frozenset(("progress", "released", "note", "move", "pong"))
 
 
@@ -51,12 +52,12 @@
 
     # -- from owners
 
-    def heard(self, client: int, line: owners.Line) -> Heard:
-        """Raises Unwelcome."""
+    def heard(self, client: int, line: owners.Line, waited: float = 0.0) -> Heard:
+        """`waited`: seconds for which it may have lain unread. Raises Unwelcome."""
         if line.fault:
             return self.refused(line.id)
         if line.type == "setup":
-            return self.setup(client, line)
+            return self.setup(client, line, waited)
         if line.type == "release":
             return self.released(client, line)
         if line.type == "ping":
@@ -70,7 +71,7 @@
             raise Unwelcome("a message that cannot be read has the id of a known task")
         return Heard(reply=owners.release(task, owners.REFUSED), usual=False)
 
-    def setup(self, client: int, line: owners.Line) -> Heard:
+    def setup(self, client: int, line: owners.Line, waited: float) -> Heard:
         known = self.tasks.get(line.id)
         try:
             ask = owners.read_ask(line, self.settings)
@@ -87,7 +88,7 @@
                                      ask.at, work))
         self.open.setdefault(client, set()).add(task.id)
         return Heard(on.Submitted(client, line.id, ask.offering, ask.customer, ask.service, ask.cores, ask.memory,
-                                  ask.left, work=work))
+                                  max(LEFT_LEAST, ask.left - waited), work=work))   # it counts from when it was sent
 
     def released(self, client: int, line: owners.Line) -> Heard:
         task = self.tasks.get(line.id)
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -12,7 +12,7 @@
 from linedeal.engine import effects as do
 from linedeal.engine import events as on
 from linedeal.interface import Mode
-from linedeal.loop import Inbox, Turning
+from linedeal.loop import Inbox, Lateness, Turning
 from linedeal.net import Net, read_what_came
 from linedeal.platform import config
 from linedeal.platform.bus import BadEvent, BusPoll, Feed
@@ -45,7 +45,8 @@
         self.turning = Turning(self.engine, self.inbox, setup.cluster.limits.tick)
         self.route = Route(setup.cluster.settings)
         self.descriptors = Descriptors(setup.sockets)
-        self.owners = Owners(self.route, self.net, self.inbox, self.descriptors, self.next_number, self.log)
+        self.lateness = Lateness()
+        self.owners = Owners(self.route, self.net, self.inbox, self.descriptors, self.lateness, self.next_number, self.log)
         self.feed = Feed()
         self.bus = BusPoll(setup.bus, self.feed, self.net, self.inbox, Random(setup.seed + 2), self.log)
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -57,6 +58,7 @@
                 self.turn()
                 self.tasks.start_soon(self.bus.run)
                 self.tasks.start_soon(self.tell)
+                self.tasks.start_soon(self.lateness.run)
                 address = await self.tasks.start(self.owners.run, setup.listen)
                 self.log.info("takes jobs", address="%s:%d" % address, hosts=len(self.hosts), events=self.feed.number)
                 task_status.started(address)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -575,7 +575,7 @@
 async def test_a_fault_that_one_connection_brings_out_ends_that_connection_alone(tmp_path, log, kept):
     async with ground(tmp_path, log) as g:
         heard = g.service.route.heard
-        g.service.route.heard = lambda client, line: 1 / 0 if line.id == C else heard(client, line)
+        g.service.route.heard = lambda client, line, waited: 1 / 0 if line.id == C else heard(client, line, waited)
         owner, bad = await g.client(), await g.client()
         await bad.setup(C)
         await g.within(2, bad.closed.is_set)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import socket
+import time
 from random import Random
 
 import anyio
@@ -374,6 +375,27 @@
         await g.within(2, lambda: not g.hosts["h1"].standing)
 
 
+@pytest.mark.parametrize("bad", [0, 6])
+async def test_what_a_late_loop_leaves_unread_counts_as_time_that_the_job_has_had(tmp_path, log, raw_owner, monkeypatch, bad):
+    # `left` counts from when it was sent: reckoned from when it was read, or taken, the answer came after its owner's time
+    async with ground(tmp_path, log, {"h1": Host(silent)}) as g:
+        owner, turn, sent = raw_owner(g.address), g.service.engine.turn, []
+        await g.within(2, lambda: g.service.owners.links)
+
+        def long_turn(now):
+            if not sent:
+                sent.append(anyio.current_time())
+                owner.sendall(BAD * bad + setup_line(A))
+                time.sleep(0.4)     # the loop stands still
+            return turn(now)
+
+        monkeypatch.setattr(g.service.engine, "turn", long_turn)
+        g.service.inbox.arrived.set()
+        await g.within(2, lambda: g.service.engine.taken)
+        taken, = g.service.engine.taken.values()
+        assert sent[0] + 2.9 <= taken.job.expiry <= sent[0] + 3.0 + 0.03
+
+
 # -- the closing of idle connections
 
 
