--- a/linedeal/client/owner.py
+++ b/linedeal/client/owner.py
@@ -25,6 +25,7 @@
 from linedeal.net import Address, Link, LinkLost, Net, open_link
 from linedeal.protocol import VERSION, FrameReader, encode, pb
 
+OTHERS = 1.0            # seconds, once one controller is heard, for those not reached yet
 AGAIN = 0.2             # seconds between two tries to reach a controller
 CONNECT = 5.0           # seconds for a link to stand
 PATIENCE = 2.0          # seconds after which a redoable job is asked for elsewhere
@@ -178,6 +179,10 @@
                     await owner.change()
             fault = None
             if any(home.heard for home in owner.homes):
+                # a session that is opened again has jobs at any of them: the first one heard does not speak for all
+                with anyio.move_on_after(OTHERS):
+                    while any(home.why == NOT_YET and not home.heard for home in owner.homes):
+                        await owner.change()
                 try:
                     yield owner
                 except Exception as error:
--- a/tests/test_drmaa.py
+++ b/tests/test_drmaa.py
@@ -7,16 +7,21 @@
 import sys
 import threading
 import time
+from dataclasses import replace
 from datetime import datetime, timezone
 from pathlib import Path
 
 import anyio
 import pytest
 
+from linedeal.client.client import JobAsk
+from linedeal.client.contact import parse_contact
+from linedeal.client.owner import END, Owner
 from linedeal.drmaa import (InvalidArgument, InvalidSession, InvalidState, JobState, JobTemplate, SessionManager, Timeout,
                             TryLater, UnsupportedAttribute, UnsupportedOperation, DeniedByDrms, DrmCommunication)
 from linedeal.drmaa import agent, build, translate, v1
 from linedeal.drmaa.errors import V1
+from linedeal.net import TcpNet
 from linedeal.settings.keys import hash_of
 from linedeal.standin.model import Habits
 from tests.ground import over_sockets
@@ -147,6 +152,39 @@
         assert again.jobs() == []
 
 
+@pytest.mark.anyio
+async def test_a_session_that_is_opened_again_knows_of_jobs_at_controllers_that_answer_last(ground):
+    # guards against a list of jobs by the first controller heard: the bad order is forced by holding the other's link
+    contact = replace(parse_contact(ground.contact), session=f"again-{time.monotonic_ns()}")
+
+    class HeldBack(TcpNet):
+        def __init__(self, address):
+            self.address, self.other = address, anyio.Event()
+
+        async def connect(self, address):
+            if address == self.address:
+                await self.other.wait()
+            return await super().connect(address)
+
+    async with Owner.open(TcpNet(), contact) as owner:
+        key = await owner.submit(JobAsk("course-reader", contact.customer, "reading", 0.5, 0.5), hold=True)
+        home = owner.courses[key].home.address
+    net = HeldBack(home)
+    owners = []
+
+    async def opened():
+        async with Owner.open(net, contact) as owner:
+            owners.append(owner.keys())
+            await owner.order(key, END)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(opened)
+        await anyio.sleep(0.3)      # the other one has been heard by then; without the guard the session is open
+        assert not owners
+        net.other.set()
+    assert owners == [[key]]
+
+
 def test_faulty_sessions_are_named(ground, monkeypatch):
     monkeypatch.delenv("LINEDEAL_CONTACT", raising=False)
     manager = SessionManager()
