Test a host that has nothing to say yet before its connection is given up; members ask themselves last

SILENT held only where hosts accept at once. Now the host is tested after half of it, and lost where it does not answer the test. Tests: well and hung. Asker.ask put a member that had to ask itself first in its own order, for good.

--- a/linedeal/fleet/asker.py
+++ b/linedeal/fleet/asker.py
@@ -36,7 +36,8 @@
     def __init__(self, settings: CouncilSettings, name: str, token: str, net: Net, spread: Callable[[], float]):
         self.settings, self.name, self.net = settings, name, net
         # askers spread over the members; a member asks itself last, so that what it reported is known when it is gone
-        self.order = sorted(settings.places, key=lambda member: (member == name.partition("/")[0], spread()))
+        self.own = name.partition("/")[0]
+        self.order = sorted(settings.places, key=lambda member: (member == self.own, spread()))
         self.hello = encode(pb.Hello(version=VERSION, role=pb.CONTROLLER, name=name, session=settings.id, token=token))
         self.links: dict[str, MemberLink] = {}
         self.numbers = itertools.count(1)
@@ -81,7 +82,7 @@
             except LinkLost as error:
                 silent[member] = str(error)
             await anyio.sleep(min(PAUSE, left))
-        if self.order[0] != member:
+        if self.order[0] != member and member != self.own:      # itself stays last, also where it alone was up
             self.order.remove(member)
             self.order.insert(0, member)
         return Told(outcome, Value(told.version, told.body), member, lines(silent))
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -25,6 +25,7 @@
 LOOK = 0.25             # seconds between two looks at a connection
 UNFINISHED = 1.0        # seconds for which a frame may stay unfinished
 SILENT = 2.0            # seconds without a word after a set-up or a test
+TEST_SHARE = 0.5        # of them after which a host that was set up is tested
 QUIET = 2.5             # seconds without a word after which a host with standing jobs is tested
 SEND_WITHIN = 2.0       # seconds for a host to make room for what is written
 LOST_AFTER = 6.0        # seconds out of reach after which what stands there counts as lost
@@ -50,6 +51,7 @@
         self.probes: dict[bytes, int] = {}
         self.used_at = now
         self.asked_at = 0.0                     # the first set-up or test since it was last heard; 0: none
+        self.tested = False                     # since it was last heard
         self.unfinished_at = 0.0
         self.idle_talk = 0                      # answers and releases since the last that meant something
         self.shut = False                       # takes no launch any more
@@ -355,7 +357,7 @@
         while True:
             frames = await connection.link.receive_all()
             now = connection.used_at = self.heard_at = anyio.current_time()
-            connection.asked_at = 0.0
+            connection.asked_at, connection.tested = 0.0, False
             connection.unfinished_at = now if connection.link.reader.rest else 0.0
             events, fault = [], None
             for frame in frames:
@@ -384,6 +386,10 @@
             connection.unfinished_at = (connection.unfinished_at or now) if rest else 0.0
             if rest and now - connection.unfinished_at > UNFINISHED:
                 raise LinkLost("a frame that does not end")
+            if connection.asked_at and now - connection.asked_at > SILENT * TEST_SHARE and not connection.tested:
+                # a host that says yes only as a job runs may be well and have nothing to say yet
+                connection.tested = True
+                connection.queue(test())
             if connection.asked_at and now - connection.asked_at > SILENT:
                 raise LinkLost(f"not a word for {SILENT:g} s")
             if len(connection.outbox) > QUEUE:
@@ -401,7 +407,7 @@
                     del spent[task]
             if last and not connection.asked_at and now - self.heard_at > QUIET:
                 connection.asked_at = now
-                connection.queue(hosts.encode(Type.PING, bytes(8), hosts.parameter(Code.CAUSE, b"\x00")))
+                connection.queue(test())
 
     # -- what the host says
 
@@ -472,5 +478,9 @@
         return on.Over(host, on.LaunchId(LIFE, number), ENDS.get(cause, Result.CUT), why)
 
 
+def test() -> bytes:
+    return hosts.encode(Type.PING, bytes(8), hosts.parameter(Code.CAUSE, b"\x00"))
+
+
 def released(task: bytes) -> bytes:
     return hosts.encode(Type.RELEASE, task, hosts.parameter(Code.CAUSE, bytes([owners.GIVEN_UP])))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -20,7 +20,7 @@
 from linedeal.lab.play import QUIET
 from linedeal.lab.processes import Processes
 from linedeal.lab.trial import CLUSTER
-from linedeal.net import TcpNet
+from linedeal.net import LinkLost, TcpNet
 from linedeal.protocol import pb
 from linedeal.settings.cluster import read_cluster
 from linedeal.settings.records import CouncilSettings
@@ -125,6 +125,30 @@
         return (await client.submit(JobAsk("web", "", "s1", 1.0, 1.0))).verdict == "placed"
 
 
+def test_a_member_that_had_to_ask_itself_asks_others_again(tmp_path):
+    # guards against reports that only the reporter has from then on: killed, it is never missed
+    asked, up = [], set()
+
+    async def main():
+        settings = CouncilSettings("x", places={name: ("127.0.0.1", 9) for name in ("c1", "c2", "c3")})
+        async with Asker(settings, "c1/1", "", TcpNet(), lambda: 0.5) as asker:
+            async def ask_one(member, said, within):
+                asked.append(member)
+                if member not in up:
+                    raise LinkLost("not up yet")
+                return pb.CouncilTold(outcome="READ")
+
+            asker.ask_one = ask_one
+            up.add("c1")
+            assert (await asker.ask(pb.CouncilAsk(kind=pb.READ), 5.0)).by == "c1"
+            up.update(("c2", "c3"))
+            assert (await asker.ask(pb.CouncilAsk(kind=pb.READ), 5.0)).by == "c2"
+            assert (await asker.ask(pb.CouncilAsk(kind=pb.READ), 5.0)).by == "c2"
+
+    anyio.run(main)
+    assert asked == ["c2", "c3", "c1", "c2", "c2"]
+
+
 def test_a_day_leaves_no_process_behind(tmp_path):
     started = []
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -97,6 +97,36 @@
         assert len(host.sent(Type.SETUP)) == 2 and in_stock(g.service, "h1") == 0
 
 
+@pytest.mark.parametrize("well", [True, False])
+async def test_a_host_that_has_nothing_to_say_yet_is_tested_before_its_connection_is_given_up(
+        tmp_path, log, monkeypatch, well):
+    # where hosts say yes once the job runs, seconds without a word are nothing wrong
+    monkeypatch.setattr(hostlink, "SILENT", 0.6)
+    monkeypatch.setattr(hostlink, "LOOK", 0.02)
+    tested = anyio.Event()
+
+    async def waits(host, stream, frame):
+        if frame.type == Type.PING:
+            tested.set()
+        return frame.type == Type.SETUP or not well
+
+    setup = SETUP | {"domain": SETUP["domain"] | {"confirms": "running"}}
+    async with ground(tmp_path, log, {"h1": Host(waits)}, setup=setup) as g:
+        owner, host = await g.client(), g.hosts["h1"]
+        await owner.setup(A, "feed")
+        await g.within(2, lambda: host.sent(Type.SETUP))
+        stream, = host.streams
+        with anyio.fail_after(2):
+            await tested.wait()
+        if not well:
+            assert (await owner.until("release", A, 2.0))[2] == 47
+            return
+        connection, = g.service.hosts["h1"].connections
+        await g.within(2, lambda: not connection.tested)        # heard
+        await stream.send(answer(bytes.fromhex(A)))
+        await owner.until("answer", A)
+
+
 async def test_an_end_reaches_its_owner_by_a_connection_that_serves(tmp_path, log):
     # guards against releases that leave on the newest connection: a bad client passes nothing on
     async with ground(tmp_path, log, {"h1": Host()}) as g:
