--- a/linedeal/platform/hosts.py
+++ b/linedeal/platform/hosts.py
@@ -37,6 +37,7 @@
     NAME = 37
     REPORT = 43
     FIGURE = 52
+    MARK = 55
     CAUSE = 58
     DESCRIPTION = 61
 
--- a/linedeal/platform/owners.py
+++ b/linedeal/platform/owners.py
@@ -46,6 +46,7 @@
     left: float
     at: str
     key: str
+    mark: str = ""              # of a labelled job, by which its hosts know a repeat
 
 
 class LineReader:
@@ -126,9 +127,10 @@
     if not at and not 0 < left <= offering.expiry:
         raise BadAsk("left out of range")
     key = str(fields.get("key", ""))
-    if key and not NAME.fullmatch(key):
-        raise BadAsk("a key that is no name")
-    return Ask(offering.name, customer, service, cores, memory, left, at, key)
+    mark = str(fields.get("idem", ""))
+    if any(name and not NAME.fullmatch(name) for name in (key, mark)):
+        raise BadAsk("a key or a mark that is no name")
+    return Ask(offering.name, customer, service, cores, memory, left, at, key, mark)
 
 
 def read_pairs(text: str) -> dict[str, str]:
--- a/linedeal/platform/route.py
+++ b/linedeal/platform/route.py
@@ -169,5 +169,7 @@
     parts = [bytes.fromhex(task), hosts.parameter(Code.OFFERING, ask.offering.encode())]
     if ask.key:
         parts.append(hosts.parameter(Code.KEY, ask.key.encode()))
+    if ask.mark:
+        parts.append(hosts.parameter(Code.MARK, ask.mark.encode()))
     parts.append(hosts.parameter(Code.DESCRIPTION, description.encode()))
     return b"".join(parts)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -80,6 +80,18 @@
         assert in_stock(g.service, "h1") == 0 and not g.service.route.tasks and not g.service.hosts["h1"].tasks_of
 
 
+async def test_a_labelled_jobs_mark_goes_to_its_host_unchanged(tmp_path, log):
+    # without it a host cannot know a repeat, and what it is sent is not what its owner sent
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        owner = await g.client()
+        await owner.setup(A, "mail", idem="abd8b7b3b4f7a2223ae372f3d9a0479b")
+        await owner.until("answer", A)
+        await owner.setup(B, "mail", idem="no name")
+        assert (await owner.until("release", B))[2] == 34
+        frame, = g.hosts["h1"].sent(Type.SETUP)
+        assert frame.text(Code.MARK) == "abd8b7b3b4f7a2223ae372f3d9a0479b"
+
+
 async def test_a_job_has_its_whole_course_where_hosts_say_yes_once_it_runs(tmp_path, log):
     # guards against an answer that is waited for a second time: the owner never had one, and what ended ran again
     setup = SETUP | {"domain": SETUP["domain"] | {"confirms": "running"}}
