Count the rounds that a new connection waits as time that its first jobs have had

A beat of the loop waits one round or two, a new connection some seven: to be accepted, set up, read.

--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -19,6 +19,7 @@
 BAD_MOST = 20           # messages that are refused as they are read, on one connection
 BAD_PAUSE = 0.05        # seconds for which a connection is not read after each of them
 WAITING = 4096          # releases that wait for a connection to leave on
+NEW_ROUNDS = 4          # times the loop's lateness that a new connection waits: to be accepted, set up, and read
 CLOSES = 8              # rounds of the loop that a close takes at most
 LOOK = 0.25             # seconds between two looks for lines that do not end
 FLUSHED = 0.05          # seconds between two looks whether all is written
@@ -171,8 +172,9 @@
                 # guards against a job taken from a connection that is being let go: what crosses the close is sent
                 # again by its owner, who sees no answer on this one
                 return
+            late = self.lateness.now() * (1 if owner.heard_at > owner.began else NEW_ROUNDS)
             owner.heard_at = anyio.current_time()
-            came = owner.heard_at - self.lateness.now()
+            came = owner.heard_at - late
             for line in lines:
                 if line.type == "release" and line.id in self.route.tasks and not line.fault and not any(
                         ahead.id == line.id for ahead, _ in owner.lines):
