--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -380,7 +380,8 @@
     # `left` counts from when it was sent: reckoned from when it was read, or taken, the answer came after its owner's time
     async with ground(tmp_path, log, {"h1": Host(silent)}) as g:
         owner, turn, sent = raw_owner(g.address), g.service.engine.turn, []
-        await g.within(2, lambda: g.service.owners.links)
+        owner.sendall(json.dumps({"type": "ping", "id": B, "fields": {}, "cause": 0}).encode() + b"\n")
+        await g.within(2, lambda: any(link.usual for link in g.service.owners.links.values()))
 
         def long_turn(now):
             if not sent:
@@ -420,6 +421,30 @@
         assert sent + 2.0 <= taken.job.expiry <= sent + 3.0 + 0.1
 
 
+async def test_connections_that_come_at_once_are_accepted_together_also_by_a_slow_loop(tmp_path, log, raw_owner):
+    # one after the other, some rounds each, the last ones' jobs have lost the most of their time before they are read
+    async with ground(tmp_path, log, {"h1": Host(silent)}) as g:
+        async def slow():
+            while True:
+                time.sleep(0.03)
+                await anyio.sleep(0)
+
+        def come():
+            sent = time.monotonic()
+            for n in range(12):
+                raw_owner(g.address).sendall(setup_line("%016x" % n))
+            return sent
+
+        g.tasks.start_soon(slow)
+        await anyio.sleep(0.3)
+        sent = await anyio.to_thread.run_sync(come)
+        with anyio.fail_after(10):
+            while len(g.service.engine.taken) < 12:
+                await anyio.sleep(0)
+        over = max(taken.job.expiry for taken in g.service.engine.taken.values()) - sent - 3.0
+        assert over <= 0.1, f"{over:.2f} s over its owner's time"
+
+
 # -- the closing of idle connections
 
 
