The tool's stand-in does not tell an old owner that it did what a newer one asked for meanwhile

ToolServer.ordered looked at the fence only before it waited for the replacement (linedeal/standin/tool.py); a frozen owner's order was begun, its successor asked for the same one with a newer token, and once the host had started anew both were told that they had done it.

Change: it passes the fence again after the wait. Test with both orders in hand, seen to fail without.

--- a/linedeal/standin/tool.py
+++ b/linedeal/standin/tool.py
@@ -64,6 +64,10 @@
             with anyio.move_on_after(REPLACED):
                 while self.boots[order.host] == order.boot:
                     await self.changed.wait()
+            # guards against an old owner that is told the effect is its own: a newer one may have asked meanwhile
+            why = refused(order, self.fence, (pb.HOST_REPLACE,))
+            if why:
+                return self.told(order, False, why)
         if self.boots[order.host] == order.boot:
             return self.told(order, False, f"not replaced within {REPLACED:g} s")
         if order.boot not in self.begun.get(known, ()):
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -16,6 +16,8 @@
 from linedeal.lab.record import read_record
 from linedeal.net import TcpNet
 from linedeal.protocol import pb
+from linedeal.settings.records import CouncilSettings
+from linedeal.standin.tool import ToolServer
 
 CLUSTER = '''
 cluster {
@@ -219,6 +221,31 @@
     assert release.boots()["h03"] == 1
 
 
+@pytest.mark.anyio
+async def test_an_owner_that_a_newer_one_overtook_while_the_tool_worked_is_not_told_that_it_did_it(tmp_path):
+    begun = []
+    tool = ToolServer(TcpNet(), CouncilSettings(), tmp_path, lambda host, boot: begun.append((host, boot)))
+    tool.control({"boots": {"h01": 7}})
+    told = {}
+
+    def order(token):
+        return pb.DutyOrder(kind=pb.HOST_REPLACE, duty="duty/campaign", token=token, campaign="r1",
+                            host="h01", boot=7)
+
+    async def ask(token):
+        told[token] = await tool.ordered(order(token))
+
+    async with anyio.create_task_group() as tasks:
+        with anyio.fail_after(5):
+            for number, token in enumerate((4, 5), 1):
+                tasks.start_soon(ask, token)
+                while len(begun) < number:
+                    await anyio.sleep(0)
+            tool.control({"boots": {"h01": 8}})
+    assert told[5].done and told[5].boot == 8
+    assert not told[4].done and "token 4 is an old owner's, 5 was seen" in told[4].why
+
+
 def test_day_files_name_faults_of_duty_verbs(tmp_path):
     (tmp_path / "cluster.hcl").write_text(CLUSTER)
     lines = ["campaign r1 c1", "campaign r1 hosts mots=3", "campaign r1 hosts most=x", "hand placing", "loss", "jump h01 2"]
