Ask no more hosts a turn than choices are made; answer a job whose time is over in that turn

Change: probes are bounded as choices that are made as events come (20 a turn at 400 hosts). Past a job's expiry its launch is given up and its answer given in the same turn; what had not left as the turn began is kept back in that turn, which proves that it has not run. Nothing can be launched again then, and a yes after all is ended at its host, as before.

Not the whole cause yet. Tests of both, seen to fail without.

--- a/linedeal/engine/engine.py
+++ b/linedeal/engine/engine.py
@@ -134,7 +134,7 @@
         if late > STALL_SEEN:
             self.note("warning", "stood still", seconds=round(late, 3))
         for kind, key in list(self.timers.due(self.now)):
-            if late > STALL_SEEN and kind in ("launch", "probe"):
+            if late > STALL_SEEN and kind in ("launch", "probe") and not (kind == "launch" and self.answer_is_due(key)):
                 self.timers.arm(self.now + BREATH, kind + " at last", key)
             else:
                 RINGERS[kind](self, key)
@@ -322,7 +322,10 @@
         if not launch.left and not launch.unsend:   # the link says at once whether it could still be kept back
             launch.unsend = True
             self.out.append(do.Unsend(launch.host, launch_id.number))
-            self.timers.arm(self.now + BREATH, "launch at last", launch_id)
+            if self.answer_is_due(launch_id):       # no byte of it had left as this turn began, and none will
+                self.kept_back((launch_id.number,), Result.UNSENT)
+            else:
+                self.timers.arm(self.now + BREATH, "launch at last", launch_id)
             return
         if not self.accounts_given:
             self.recall(launch)
@@ -336,8 +339,17 @@
         at once, its next launch could overtake that word and two would be out."""
         launch.state = State.RECALLED
         self.stop(launch)
-        # a job's answer does not wait for a link that takes no word: past its expiry nothing more is launched for it
-        self.timers.arm(max(self.now + BREATH, launch.job.expiry), "recalled", launch.id)
+        # a job's answer does not wait for that word: past its expiry nothing more is launched for it
+        if self.answer_is_due(launch.id):
+            self.give_up(launch, Result.SILENT)
+        else:
+            self.timers.arm(launch.job.expiry, "recalled", launch.id)
+
+    def answer_is_due(self, launch_id: on.LaunchId) -> bool:
+        """The time of its job is over, and hosts give no account that could still tell: the answer waits for nothing, as a
+        turn more of a busy loop may be too late for it."""
+        launch = self.launches.get(launch_id)
+        return launch is not None and not self.accounts_given and self.now >= launch.job.expiry
 
     def given_up(self, event: on.GivenUp) -> None:
         for number in event.numbers:
--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -244,9 +244,9 @@
     def arrived(self, job, risk):
         gap, self.came = min(self.now - self.came, ROUND), self.now
         self.gap += ANSWER_SEEN * (gap - self.gap)
-        # one a job, however many hosts there are; none where its news is old long before the round is
-        # over: it costs as much and changes no choice. Harms where only a probe finds a silent host well
-        if self.s.may_probe and 0 < len(self.hosts) * self.gap <= ROUND:
+        # one a job, no more a turn than choices, as whom to ask is a look at all hosts; none where its news is
+        # old long before the round is over: it changes no choice. Harms where only probes find silent hosts well
+        if self.direct > 0 and self.s.may_probe and 0 < len(self.hosts) * self.gap <= ROUND:
             host = min(self.hosts.values(), key=lambda host: (host.entry.mode is Mode.GONE, host.probed))
             host.probed = self.now
             self.out.append(api.Probe(host.entry.id))
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -42,3 +42,21 @@
         act(module.settle(0.2 + turns * 0.01))
         assert len(chosen) - before <= bound
     assert len(launched) == JOBS and turns >= JOBS // (2 * bound), "each is launched again, in turns to come"
+
+
+def test_jobs_that_come_by_the_hundred_ask_hosts_no_oftener_than_choices_are_made():
+    # who is asked next is found by looking at all hosts: for each of hundreds of jobs it made a turn long, and all answers late
+    settings = replace(SETTINGS, offerings={"web": replace(OFFERING, name="web", expiry=6.0)}, controllers=16,
+                       kinds={"std": api.Kind(16.0, 64.0)}, may_probe=True)
+    module = Controller(settings, 1, 0.0)
+    module.begin()
+    module.handle(0.0, api.HostsListed(tuple(
+        api.HostEntry(f"h{n}", "std", "a", n // 8, Mode.SERVING, -1000.0, None, None) for n in range(HOSTS)), True))
+    module.settle(0.0)
+    for turn in range(1, 6):
+        asked = 0
+        for number in range(JOBS):
+            job = api.Job(f"j{turn}.{number}", "web", "", f"s{number % 9}", 0.1, 0.1, 6.0)
+            asked += sum(type(one) is api.Probe for one in module.handle(turn * 0.01, api.JobArrived(job)))
+        assert (turn == 1 or asked) and asked <= LOOKS // HOSTS, f"{asked} hosts asked in one turn"
+        module.settle(turn * 0.01)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -16,6 +16,7 @@
 from linedeal import interface as api
 from linedeal.engine import effects as do
 from linedeal.engine import engine
+from linedeal.engine import events as on
 from linedeal.engine.launches import State
 from linedeal.loop import inbox
 from linedeal.net import Link, TcpNet
@@ -23,7 +24,7 @@
 from linedeal.platform.descriptors import Descriptors
 from linedeal.platform.hosts import Type
 from linedeal.platform.log import Log
-from tests.platform import SDP, SETUP, Bus, Host, answer, file_of, ground, in_stock, release
+from tests.platform import SDP, SETUP, Bus, Host, answer, file_of, ground, in_stock, parsed, release
 
 pytestmark = pytest.mark.anyio
 A, B, C = "00000000000000a1", "00000000000000b2", "00000000000000c3"
@@ -479,6 +480,36 @@
     assert not taken.may_accept
 
 
+# -- a job's time that runs out while a launch is out, in a busy loop
+
+
+@pytest.mark.parametrize("late", [0.0, 0.1, 0.4])
+@pytest.mark.parametrize("left", [True, False])
+@pytest.mark.parametrize("offering,verdict", [("web", do.Verdict.REJECTED), ("feed", do.Verdict.WRITTEN_OFF)])
+def test_a_job_whose_time_is_over_has_its_answer_in_that_turn_whatever_its_launch_is_owed(offering, verdict, left, late):
+    # the word that gives the launch up takes some turns more: as long as the loop is slow, and the answer came too late
+    setup = SETUP | {"domain": SETUP["domain"] | {"confirms": "running"}}
+    controller = engine.Engine(parsed(setup=setup).cluster, "n1", 1, 5, 0.0, accounts_given=False)
+    controller.begin()
+    controller.put(on.ListHeard((on.ListedHost("h1", ("127.0.0.1:1",), "std", "z", 0, api.Mode.SERVING, 0, 1e7, 36.0, 80.0),),
+                                True, 1))
+    controller.turn(0.0)
+    controller.put(on.Submitted(7, A, offering, "acme", "s", 1.0, 2.0, 3.0, work=bytes.fromhex(A)))
+    launch, = (one for one in controller.turn(1.0) if type(one) is do.SendLaunch)
+    if left:
+        controller.put(on.Left("h1", 1, (launch.number,)))
+    assert not any(type(one) is do.Answer for one in controller.turn(3.9))
+    out = controller.turn(4.0 + late)
+    given, = (one for one in out if type(one) is do.Answer)
+    assert given.verdict is (verdict if left else do.Verdict.REJECTED)      # what never left is known not to have run
+    assert any(type(one) is (do.SendStop if left else do.Unsend) for one in out)
+    controller.put(on.GivenUp("h1", (launch.number,)))
+    controller.put(on.Unsent("h1", (launch.number,)))
+    assert not any(type(one) in (do.Answer, do.SendLaunch) for one in controller.turn(4.6))
+    controller.put(on.Accepted("h1", on.LaunchId(1, launch.number), "", instead=True))     # it is ended there
+    assert [type(one) for one in controller.turn(4.7)] == [do.SendStop]
+
+
 # -- the closing of idle connections
 
 
