--- a/linedeal/policy.py
+++ b/linedeal/policy.py
@@ -244,8 +244,8 @@
     def arrived(self, job, risk):
         gap, self.came = min(self.now - self.came, ROUND), self.now
         self.gap += ANSWER_SEEN * (gap - self.gap)
-        # one a job, no more a turn than choices, as whom to ask is a look at all hosts; none where its news is
-        # old long before the round is over: it changes no choice. Harms where only probes find silent hosts well
+        # one a job, no more a turn than choices, since who is asked is a look at all; none where its news is
+        # old long before the round is over: it changes nothing. Harms where only probes find a host well
         if self.direct > 0 and self.s.may_probe and 0 < len(self.hosts) * self.gap <= ROUND:
             host = min(self.hosts.values(), key=lambda host: (host.entry.mode is Mode.GONE, host.probed))
             host.probed = self.now
