Let go of a connection that was reset before it could be served, as of any other

Its log: ValueError "the socket must be connected" of anyio's from_socket at linedeal/net/tcp.py in handle_accepted, from getpeername of a connection that its client had reset.

Change: that is caught and the socket closed. Tests with real connections, reset in the backlog and after their first bytes were read, seen to end the service without it.

--- a/linedeal/net/tcp.py
+++ b/linedeal/net/tcp.py
@@ -114,8 +114,10 @@
     try:
         try:
             stream = await anyio.abc.SocketStream.from_socket(sock)
-        except OSError:
-            sock.close()        # reset before it could be served
+        except (OSError, ValueError):
+            # guards against a connection that was reset before it could be served, which is no socket for a stream any
+            # more (anyio's word for that is ValueError), and would end the listener and all that it has taken
+            sock.close()
         else:
             await handle(Accepted(stream, first, at) if first else stream)
     finally:
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -4,8 +4,10 @@
 import io
 import json
 import os
+import select
 import signal
 import socket
+import struct
 import time
 from random import Random
 
@@ -447,6 +449,31 @@
         assert over <= 0.1, f"{over:.2f} s over its owner's time"
 
 
+@pytest.mark.parametrize("word", [b"", setup_line(A)])
+async def test_a_connection_that_is_reset_before_it_is_served_ends_nothing(tmp_path, log, raw_owner, monkeypatch, word):
+    from_socket, reset = anyio.abc.SocketStream.from_socket, []
+
+    async def once_reset(sock):
+        if word and not reset:      # it has been accepted, and what it brought was read
+            reset.append(sock)
+            gone.close()
+            while select.select([sock], [], [], 0)[0] == []:
+                await anyio.sleep(0)
+        return await from_socket(sock)
+
+    async with ground(tmp_path, log, {"h1": Host()}) as g:
+        monkeypatch.setattr(anyio.abc.SocketStream, "from_socket", once_reset)
+        gone = raw_owner(g.address)
+        gone.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        gone.sendall(word)
+        if not word:        # still in the backlog
+            gone.close()
+        owner = await g.client()
+        await owner.setup(B)
+        await owner.until("answer", B)
+        await g.within(2, lambda: g.service.descriptors.owners == 1)
+
+
 async def test_more_connections_that_come_at_once_than_descriptors_leave_room_for_dials(tmp_path, log, raw_owner):
     # all that wait are accepted in one round, before any of them can be let go of; a dial must not find none left
     async with ground(tmp_path, log, {"h1": Host(), "h2": Host()}, sockets=64) as g:
