Test a quiet host where jobs stand once before its connection is given up, not twice

Cause: hostlink.mind noted when it had asked by itself, not that it had; a second later it asked again. Test with a host that falls silent, seen to fail without.

--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -406,7 +406,7 @@
                 for task in [task for task, until in spent.items() if until <= now and task not in connection.out]:
                     del spent[task]
             if last and not connection.asked_at and now - self.heard_at > QUIET:
-                connection.asked_at = now
+                connection.asked_at, connection.tested = now, True
                 connection.queue(test())
 
     # -- what the host says
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -320,6 +320,24 @@
         assert (await owner.until("release", A, 5))[2] == 41
 
 
+async def test_a_quiet_host_where_a_job_stands_is_tested_once_before_its_connection_is_given_up(tmp_path, log, monkeypatch):
+    for name, seconds in (("SILENT", 0.8), ("QUIET", 0.3), ("LOOK", 0.05)):
+        monkeypatch.setattr(hostlink, name, seconds)
+    silent = []
+
+    async def script(host, stream, frame):
+        return bool(silent)
+
+    async with ground(tmp_path, log, {"h1": Host(script)}) as g:
+        owner, host = await g.client(), g.hosts["h1"]
+        await owner.setup(A)
+        await owner.until("answer", A)
+        silent.append(True)
+        before, (first,) = len(host.sent(Type.PING)), host.streams
+        await g.within(5, lambda: first not in host.streams)
+        assert len(host.sent(Type.PING)) - before == 1
+
+
 async def test_what_stood_before_a_host_started_anew_is_released(tmp_path, log):
     async with ground(tmp_path, log, {"h1": Host()}) as g:
         owner = await g.client()
