The audit takes a job whose controller was away as over by its host's own word

The claim took a job as running until its end was told to its controller. A controller that is killed hears nothing: the job ends, the host says rightly that it holds nothing irreversible, is replaced, and the end was never recorded. Forced by killing a controller for the campaign's length: three such findings at once, with the check as it was.

Change: only for a launch whose link had ended, and only by an answer to a duty's owner asked after that, of the same boot, before the replacement, in which the host drains and holds no irreversible job. While the link stands nothing changes.

--- a/linedeal/audit/duties.py
+++ b/linedeal/audit/duties.py
@@ -3,7 +3,7 @@
 
 from dataclasses import dataclass
 
-from linedeal.audit.traffic import CAMPAIGN, NEVER, PLAN, OrderSeen, Traffic
+from linedeal.audit.traffic import CAMPAIGN, NEVER, PLAN, LaunchSeen, OrderSeen, Traffic
 from linedeal.duties import campaign
 from linedeal.duties.campaign import Plan, Progress, Stage
 from linedeal.duties.duty import Refusal, decoded
@@ -153,10 +153,18 @@
         if what == "replace":
             for launch in traffic.launches.values():
                 if launch.host == who and offerings[launch.job.offering].effect is Effect.IRREVERSIBLE \
-                        and launch.accepted < t < min(launch.ended, launch.lost):
+                        and launch.accepted < t < min(launch.ended, launch.lost) and not over_unheard(traffic, launch, t):
                     yield DutyBreach("irreversible", t, f"{who} was replaced under {launch.job.id}")
 
 
+def over_unheard(traffic: Traffic, launch: LaunchSeen, t: float) -> bool:
+    """An end that comes while its controller is away is told to nobody before that one's next link, and may go with the
+    host. Over by the host's own word, then: asked after that link had ended, it drained, so that nothing new came, and
+    held no irreversible job. While the link stands, only what is told on it counts."""
+    return any(order.to == launch.host and order.at == launch.boot and order.clear and launch.link_end < order.came
+               and order.told < t for order in traffic.orders)
+
+
 def campaigns(traffic: Traffic) -> list[tuple[Plan, Progress]]:
     """Each plan that was made, as last changed, with the last progress that stood."""
     last = {progress.id: progress for _, made, progress in progresses(traffic) if made < NEVER}
--- a/linedeal/audit/traffic.py
+++ b/linedeal/audit/traffic.py
@@ -91,6 +91,8 @@
     told: float = NEVER
     done: bool = False
     highest: int = 0            # token that the other side had seen
+    at: int = 0                 # boot of the host that answered
+    clear: bool = False         # the host said that it drains, and held no irreversible job
 
     @property
     def came(self) -> float:
@@ -343,6 +345,7 @@
         seen = link.numbered.pop(message.number, None)
         if seen is not None:
             seen.told, seen.done, seen.highest = entry.t, message.done, message.token
+            seen.at, seen.clear = message.boot, message.draining and not message.irreversible
 
     def council_ask(self, entry, link, message) -> None:
         if message.kind == pb.CHANGE and message.key in (PLAN, CAMPAIGN):
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -181,6 +181,15 @@
     assert {lives[host] for host in ("h01", "h02", "h03", "h04", "h06")} == {2} and lives["h05"] == 1
 
 
+def test_ends_that_no_controller_heard_go_with_their_host_and_do_no_harm(tmp_path):
+    """Jobs of c4 end while it is away: hosts that hold nothing irreversible any more are replaced."""
+    release = Release(tmp_path, "at 1 campaign r1 hosts most=3\nat 2 kill c4 for 14\n").play()
+    assert release.standing.progress.ended == "done"
+    replaced = {who: t for t, what, who in release.traffic.marks if what == "replace"}
+    assert any(launch.controller == "c4" and launch.job.offering == "feed" and launch.host in replaced
+               and launch.accepted < replaced[launch.host] < launch.ended for launch in release.traffic.launches.values())
+
+
 def test_an_owner_cut_off_from_hosts_and_then_from_all_but_hosts_does_no_harm(tmp_path):
     orders = ("at 1 campaign r1 h01,h02,h03 most=1\nat 2 cut owner:campaign from hosts for 3\n"
               "at 7 cut owner:campaign from c1,c2,c3 for 5\n")
