The audit takes the host's word only once the last link that knew of a job has ended

Seen as the change was read again: over_unheard went by the link that a job was launched on. A controller that had come back to the host, and was told there that the job runs, hears of its end itself; yet the host's word counted, so a replacement under such a job would have passed. Stricter now: the last link that was told of the launch, as it was offered or by its welcome, must have ended before the host was asked.

Test: three records by hand of a controller that came back; the two where its second link stands fail on the check as it was. No program text of run changed.

--- a/linedeal/audit/duties.py
+++ b/linedeal/audit/duties.py
@@ -159,9 +159,9 @@
 
 def over_unheard(traffic: Traffic, launch: LaunchSeen, t: float) -> bool:
     """An end that comes while its controller is away is told to nobody before that one's next link, and may go with the
-    host. Over by the host's own word, then: asked after that link had ended, it drained, so that nothing new came, and
-    held no irreversible job. While the link stands, only what is told on it counts."""
-    return any(order.to == launch.host and order.at == launch.boot and order.clear and launch.link_end < order.came
+    host. Over by the host's own word, then: asked after the last link that knew of it had ended, it drained, so that
+    nothing new came, and held no irreversible job. While a link stands, only what is told on it counts."""
+    return any(order.to == launch.host and order.at == launch.boot and order.clear and launch.unheard < order.came
                and order.told < t for order in traffic.orders)
 
 
--- a/linedeal/audit/traffic.py
+++ b/linedeal/audit/traffic.py
@@ -31,6 +31,8 @@
     stopped: float = NEVER
     lost: float = NEVER         # a later welcome of another boot, or the host told as gone
     absent: float = NEVER       # a later welcome of the same boot that does not name it: it never ran
+    heard_on: object = None     # the last link that was told of it, as it was offered or by its welcome
+    unheard: float = NEVER      # since when that one has ended: what comes of the launch then is told to nobody
     outcome: int = 0
     uses: list[tuple[float, float]] = field(default_factory=list)   # when told, cores in use
 
@@ -120,6 +122,7 @@
     boot: int = 0
     asks: dict[str, deque] = field(default_factory=dict)    # not answered yet, by key
     launches: list[LaunchSeen] = field(default_factory=list)
+    knows: list[LaunchSeen] = field(default_factory=list)   # those, and the ones that its welcome named
     numbered: dict[int, object] = field(default_factory=dict)   # orders or changes of this link by their numbers
     broken: bool = False
 
@@ -188,6 +191,9 @@
     def ended(self, t, link) -> None:
         for launch in link.launches:
             launch.link_end = min(launch.link_end, t)
+        for launch in link.knows:
+            if launch.heard_on is link:
+                launch.unheard = min(launch.unheard, t)
         if link.hello is None or link.hello.role != pb.CLIENT:
             return
         if link.hello.session:      # its jobs go on; while no link stands nothing can be told
@@ -280,6 +286,11 @@
                                                      f"{self.traffic.launches[key].host} and {seen.host}"))
         self.traffic.launches[key] = seen
         link.launches.append(seen)
+        self.hears(link, seen)
+
+    def hears(self, link, launch) -> None:
+        link.knows.append(launch)
+        launch.heard_on, launch.unheard = link, NEVER
 
     def use(self, entry, link, message) -> None:
         launch = self.find(message.launch)
@@ -297,6 +308,8 @@
             if launch.controller != name or launch.host != host:
                 continue
             item = held.get((launch.life, launch.number))
+            if item is not None:
+                self.hears(link, launch)
             if item is None and launch.link != entry.link:
                 if message.boot != launch.boot:
                     launch.lost = min(launch.lost, entry.t)
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -461,14 +461,22 @@
     assert record.breaches() == {"limit"}
 
 
+LAUNCH = pb.LaunchId(controller="c1", life=1, number=1)
+
+
+def welcomed(record, t, *held):
+    """A link of c1 to host a."""
+    link = record.open("a", pb.CONTROLLER, "c1", t)
+    record.r.data(t, link, "<", encode(pb.Welcome(version=1, name="a", boot=1, age=100.0, held=held)))
+    return link
+
+
 def holding(record):
     """The record with an irreversible job on host a; its link."""
-    link = record.open("a", pb.CONTROLLER, "c1", 1.0)
-    launch = pb.LaunchId(controller="c1", life=1, number=1)
+    link = welcomed(record, 1.0)
     spec = pb.JobSpec(id="c1.1.1", offering="feed", cores=1.0)
-    record.r.data(1.2, link, "<", encode(pb.Welcome(version=1, name="a", boot=1, age=100.0)))
-    record.r.data(1.5, link, ">", encode(pb.Offer(launch=launch, job=spec)))
-    record.r.data(1.6, link, "<", encode(pb.Accepted(launch=launch)))
+    record.r.data(1.5, link, ">", encode(pb.Offer(launch=LAUNCH, job=spec)))
+    record.r.data(1.6, link, "<", encode(pb.Accepted(launch=LAUNCH)))
     return link
 
 
@@ -494,6 +502,18 @@
     assert whole(record).breaches() == ({"irreversible"} if broken else set())
 
 
+@pytest.mark.parametrize("gone, broken", [(3.4, False), (9.0, True), (3.8, True)])
+def test_a_controller_that_came_back_to_its_irreversible_job_hears_of_its_end_itself(gone, broken):
+    # the host's word counts for what nobody could be told, from the last link that knew of the job
+    record = Record()
+    first = holding(record)
+    second = welcomed(record, 3.1, pb.Held(launch=LAUNCH, phase=pb.RUNNING))
+    record.r.ended(3.2, first, ">")
+    record.r.ended(gone, second, ">")
+    record.order(3.5, pb.HOST_LOOK, "a", draining=True)
+    assert whole(record).breaches() == ({"irreversible"} if broken else set())
+
+
 def test_a_campaign_that_stands_without_a_reason_is_seen():
     record = Record()
     assert record.breaches() == {"ends"}
