Review case 1 and 3: the hosts send notes on the use of their tasks

Change: a note for each task every 5 s; in case 1 the cut comes 1.0 s after a host's last word, not 1.5 s.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,7 +8,7 @@
 from standins import Bus, CannotRunError, Controller, Host, Owner, task_id
 
 SILENT = 5.9  # seconds; 6 s are named
-LAST_WORD = 1.5  # seconds between the first host's last word and the cut
+LAST_WORD = 1.0  # seconds between the first host's last word and the cut
 TOLD_WITHIN = 8.0 + 0.05  # seconds of its end, if no release could be sent
 SOME_TIME = 9.0  # seconds that are waited for it
 
@@ -19,7 +19,7 @@
     bus, check = Bus(record), standins.spread_check(service_of, faults)
     await bus.start()
     hosts = [Host(f"std{i}", record) for i in range(1, 8)]
-    hosts += [Host(f"big{i}", record, kind="big", on_setup=check) for i in range(1, 4)]
+    hosts += [Host(f"big{i}", record, kind="big", on_setup=check, notes=5.0) for i in range(1, 4)]
     for host in hosts:
         await host.start()
     bus.publish(*(host.entry() for host in hosts), full=True)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,7 +16,7 @@
     bus, check = Bus(record), standins.spread_check(service_of, faults)
     await bus.start()
     hosts = [Host(f"std{i}", record) for i in range(1, 8)]
-    hosts += [Host(f"big{i}", record, kind="big", on_setup=check) for i in range(1, 4)]
+    hosts += [Host(f"big{i}", record, kind="big", on_setup=check, notes=5.0) for i in range(1, 4)]
     for host in hosts:
         await host.start()
     bus.publish(*(host.entry() for host in hosts), full=True)
