--- a/review/1/case.py
+++ b/review/1/case.py
@@ -75,4 +75,4 @@
 
 
 if __name__ == "__main__":
-    standins.main(case, Path(__file__).parent)
+    standins.main(case, Path(__file__).parent / "record.txt")
--- a/review/standins.py
+++ b/review/standins.py
@@ -573,9 +573,12 @@
                 self.record(f"log of {self.name}, start {start}: {line}")
 
 
-def main(case, folder):
-    """Runs `case(record, temporary folder)`, which returns the faults it saw; exits as the cases have to."""
-    record = Record(Path(folder) / "record.txt")
+def main(case, record_path):
+    """Runs `case(record, temporary folder)`, which returns the faults it saw; exits as the cases have to.
+
+    `record_path`: the file that gets what was sent, answered and run.
+    """
+    record = Record(record_path)
     record(f"TROUBLE={int(TROUBLE)}")
     status = 2
     with tempfile.TemporaryDirectory() as temporary:
