Wait for the next connection attempt itself, not for a timer that may miss it by an ulp

Cause: HostLink.handle_open_failure noted retry_at = now + 0.2 and started a sleep of 0.2 s as the only wake-up; dispatch compared the clock with retry_at. uvloop's clock has whole milliseconds, and (t + 200) / 1000 < t / 1000 + 0.2 for about a third of all t. Change: the link's loop waits for work or for retry_at, whichever comes first; no clock is compared with retry_at any more. Related loops (engine steps, council rounds, peers) compute their wake-up anew each round and only wake once more.

--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -5,6 +5,7 @@
 there.
 """
 
+import math
 import traceback
 from collections import deque
 from collections.abc import Callable
@@ -138,7 +139,8 @@
         # A connection was lost while jobs ran: the host repeats on the next one what it sent on the lost one.
         self.reopen = False
         self.received_at = 0.0
-        self.retry_at = 0.0  # earliest time for another connection while one is open, or for a retry
+        # When to try again after a connection could not be opened; infinity: nothing delays the next attempt.
+        self.retry_at = math.inf
         self.refusals = 0  # refused connections in a row
 
     # -- for the engine's effects
@@ -249,12 +251,22 @@
         with self.scope:
             async with anyio.create_task_group() as self.tasks:
                 while True:
-                    await self.wake.wait()
-                    self.wake = anyio.Event()
+                    await self.wait_for_work()
                     if self.dispatch() and not self.opening:
                         self.opening = True
                         self.tasks.start_soon(self.open)
 
+    async def wait_for_work(self) -> None:
+        """Waits until something is queued or has changed, or the next attempt to connect is due."""
+        if self.retry_at == math.inf:
+            await self.wake.wait()
+        else:
+            with anyio.move_on_at(self.retry_at) as delay:
+                await self.wake.wait()
+            if delay.cancelled_caught:
+                self.retry_at = math.inf
+        self.wake = anyio.Event()
+
     def least_busy(self, task: bytes | None = None) -> Connection | None:
         """The connection with the fewest unanswered launches; None if no connection may carry `task`.
 
@@ -272,7 +284,7 @@
         Launches use an open connection rather than wait for a new one. Launches that had waited would all
         reach the host at once when it opens, and be refused there.
         """
-        now, needed, kept, limit = anyio.current_time(), False, deque(), self.max_connections()
+        needed, kept, limit = False, deque(), self.max_connections()
         while self.outbox:
             effect = self.outbox.popleft()
             launch = isinstance(effect, effects.SendLaunch)
@@ -292,11 +304,11 @@
         if kept and self.connections:
             if len(self.connections) == limit:  # one has to close; its unanswered launches continue
                 min(self.connections, key=lambda c: len(c.unanswered)).closing = True
-            return len(self.connections) <= limit and now >= self.retry_at
+            return len(self.connections) <= limit and self.retry_at == math.inf
         needed = (
             bool(kept)
             or (needed or self.reopen or bool(self.running) and not self.connections)
-            and now >= self.retry_at
+            and self.retry_at == math.inf
         )
         return needed and len(self.connections) < limit
 
@@ -351,11 +363,6 @@
             ):
                 self.log.warning("host lost", host=self.listed.id, reason=reason, standing=len(self.running))
                 await self.inbox.post(events.HostLost(self.listed.id))
-        self.tasks.start_soon(self.wake_later, RETRY_DELAY)
-
-    async def wake_later(self, seconds: float) -> None:
-        """Makes `run` dispatch again after so long."""
-        await anyio.sleep(seconds)
         self.wake.set()
 
     async def serve(self, connection: Connection) -> None:
