Count a host's outage from its first unanswered ping, not from its last message

Cause: HostLink.handle_open_failure held a host for lost 6 s after received_at. A quiet host's last message is up to 2.5 s (the silence before a ping) and a check older than the cut. Evidence: on a mock clock with 26 positions of the cut, HostLost comes 6 s after the last message each time. Change: reachability.py, a failure detector without I/O: an outage has lasted since the first ping, probe or attempt without a reply; lost is a host of which an attempt fails that began 6.4 s after that, the third in a row at least. Hosts that run jobs are pinged after 0.75 s of silence, so that one that is gone is noticed within 8 s: 0.75 + 0.25 check + 6.4 + one attempt. A launch is no such request, as hosts may say nothing until a job runs. Attempts are laid so that none is under way when the decisive one is due.

--- a/linedeal/net/__init__.py
+++ b/linedeal/net/__init__.py
@@ -8,6 +8,7 @@
     LinkLostError,
     Net,
     NetAttribute,
+    Stream,
     open_link,
     parse_address,
 )
@@ -22,6 +23,7 @@
     "LinkLostError",
     "Net",
     "NetAttribute",
+    "Stream",
     "TcpNet",
     "let_readers_run",
     "open_link",
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -20,6 +20,7 @@
     Link,
     LinkLostError,
     Net,
+    Stream,
     let_readers_run,
     parse_address,
     run_until_link_lost,
@@ -28,6 +29,7 @@
 from linedeal.platform import host_codec, owner_codec
 from linedeal.platform.descriptors import DescriptorBudget
 from linedeal.platform.host_codec import Code, Type
+from linedeal.platform.reachability import Reachability
 from linedeal.settings.records import Limits
 from linedeal.wiresettings import METRICS, REASONS
 
@@ -37,11 +39,8 @@
 PARTIAL_FRAME_TIMEOUT = 1.0  # seconds for which a frame may stay incomplete
 RESPONSE_TIMEOUT = 2.0  # seconds for the host to send anything after a set-up or a ping
 PING_SHARE = 0.5  # of RESPONSE_TIMEOUT, after which a host that was sent a set-up is sent a ping
-QUIET_BEFORE_PING = 2.5  # seconds of silence after which a host that runs jobs is sent a ping
 SEND_TIMEOUT = 2.0  # seconds for the host to read what is written
-HOST_LOST_AFTER = 6.0  # seconds without a connection after which the jobs that run there count as lost
 RETRY_DELAY = 0.2  # seconds between attempts to connect to a host that runs jobs
-REFUSALS_BEFORE_LOST = 2  # refused connections in a row that show that the host's process has died
 # Answers and releases in a row without effect, such as repeated ones and those for unknown tasks.
 MAX_USELESS_FRAMES = 2000
 IDLE_SHARE = 0.6  # of the time after which hosts close an idle connection, after which it is closed here
@@ -64,6 +63,15 @@
 }
 
 
+class ConnectFailedError(Exception):
+    """No connection could be opened; the message has the reason."""
+
+    def __init__(self, reason: str, began_at: float | None = None, refused: bool = False):
+        """`began_at`: when the attempt began; None if none was made. `refused`: by the host's system."""
+        super().__init__(reason)
+        self.began_at, self.refused = began_at, refused
+
+
 class Connection:
     """The state of one connection to a host."""
 
@@ -138,10 +146,9 @@
         self.opening = False
         # A connection was lost while jobs ran: the host repeats on the next one what it sent on the lost one.
         self.reopen = False
-        self.received_at = 0.0
+        self.reachability = Reachability(anyio.current_time())
         # When to try again after a connection could not be opened; infinity: nothing delays the next attempt.
         self.retry_at = math.inf
-        self.refusals = 0  # refused connections in a row
 
     # -- for the engine's effects
 
@@ -163,6 +170,9 @@
 
     def adopt(self, effect: effects.Adopt) -> None:
         """Notes a job that runs there already, and opens a connection for it."""
+        if not self.running:
+            # What failed before the host was known to run a job says nothing about that job.
+            self.reachability = Reachability(anyio.current_time())
         self.task_by_launch[effect.number] = effect.work[:8]
         self.running[effect.work[:8]] = effect.number
         self.wake.set()
@@ -314,56 +324,61 @@
 
     async def open(self) -> None:
         """Opens one connection; may wait for a descriptor, and then connect, for the connect timeout each."""
-        stream = reason = None
-        refused, timeout = False, self.limits.connect
-        if not await self.descriptors.reserve_for_host(timeout):
-            reason = "no descriptor is free for it"
-        else:
-            try:
-                with anyio.fail_after(timeout):
-                    stream = await self.net.connect(parse_address(self.listed.addresses[0]))
-            except TimeoutError:
-                reason = "it does not answer"
-            except ValueError as error:
-                reason = str(error)
-            except CONNECTION_ERRORS as error:
-                reason, refused = (
-                    describe_error(error),
-                    isinstance(error.__cause__ or error, ConnectionRefusedError),
-                )
-            finally:
-                if stream is None:
-                    self.descriptors.remove(hosts=1)
-        self.opening = False
-        self.wake.set()
-        if stream is None:
-            await self.handle_open_failure(reason, refused)
+        try:
+            stream = await self.connect()
+        except ConnectFailedError as failure:
+            await self.handle_open_failure(failure)
             return
-        now = self.received_at = anyio.current_time()
-        self.refusals, self.reopen = 0, False
+        finally:
+            self.opening = False
+            self.wake.set()
+        now = anyio.current_time()
+        self.reachability.on_received(now)
+        self.reopen = False
         connection = Connection(self.next_number(), Link(stream, host_codec.FrameReader()), now)
         self.connections.append(connection)
         for task in self.stopping:
             connection.enqueue(release_frame(task))
         self.tasks.start_soon(self.serve, connection)
 
-    async def handle_open_failure(self, reason: str, refused: bool) -> None:
+    async def connect(self) -> Stream:
+        """Opens a stream to the host, whose descriptor is counted. Raises ConnectFailedError."""
+        timeout, stream = self.limits.connect, None
+        if not await self.descriptors.reserve_for_host(timeout):
+            raise ConnectFailedError("no descriptor is free for it")
+        began_at = anyio.current_time()
+        self.reachability.on_request(began_at)
+        try:
+            with anyio.fail_after(timeout):
+                stream = await self.net.connect(parse_address(self.listed.addresses[0]))
+                return stream
+        except TimeoutError:
+            raise ConnectFailedError("it does not answer", began_at) from None
+        except ValueError as error:
+            raise ConnectFailedError(str(error), began_at) from None
+        except CONNECTION_ERRORS as error:
+            refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
+            raise ConnectFailedError(describe_error(error), began_at, refused) from None
+        finally:
+            if stream is None:
+                self.descriptors.remove(hosts=1)
+
+    async def handle_open_failure(self, failure: ConnectFailedError) -> None:
         """Reports unsent launches, or that the host is lost, and schedules the next attempt."""
-        now = anyio.current_time()
-        self.refusals = self.refusals + 1 if refused else 0
-        self.retry_at = now + RETRY_DELAY
-        if not self.connections:
-            unsent = tuple(e.number for e in self.outbox if isinstance(e, effects.SendLaunch))
-            self.outbox.clear()
-            for number in unsent:
-                self.task_by_launch.pop(number, None)
-            await self.inbox.post(events.LinkDown(self.listed.id, 0, unsent, reason))
-            if self.running and (
-                self.refusals >= REFUSALS_BEFORE_LOST or now - self.received_at > HOST_LOST_AFTER
-            ):
-                self.log.warning("host lost", host=self.listed.id, reason=reason, standing=len(self.running))
-                await self.inbox.post(events.HostLost(self.listed.id))
-        self.wake.set()
+        now, reason = anyio.current_time(), str(failure)
+        if failure.began_at is not None:
+            self.reachability.on_attempt_failed(failure.refused)
+        self.retry_at = self.reachability.next_attempt_at(now, RETRY_DELAY, self.limits.connect)
+        if self.connections:
+            return
+        unsent = tuple(e.number for e in self.outbox if isinstance(e, effects.SendLaunch))
+        self.outbox.clear()
+        for number in unsent:
+            self.task_by_launch.pop(number, None)
+        await self.inbox.post(events.LinkDown(self.listed.id, 0, unsent, reason))
+        if self.running and failure.began_at is not None and self.reachability.is_lost(failure.began_at):
+            self.log.warning("host lost", host=self.listed.id, reason=reason, standing=len(self.running))
+            await self.inbox.post(events.HostLost(self.listed.id))
 
     async def serve(self, connection: Connection) -> None:
         """Runs a connection until it ends, then reports what was on it."""
@@ -438,6 +453,7 @@
                 connection.probes[probe] = effect.number
                 data += host_codec.encode(Type.PING, probe, host_codec.parameter(Code.CAUSE, b"\x01"))
                 awaits_reply = True
+                self.reachability.on_request(now)
             elif self.is_outdated(effect, now):
                 self.report_unsent([effect])
             else:
@@ -469,7 +485,8 @@
         """Reads frames and posts the engine's events of them. Raises LinkLostError."""
         while True:
             frames = await connection.link.receive_all()
-            now = connection.used_at = self.received_at = anyio.current_time()
+            now = connection.used_at = anyio.current_time()
+            self.reachability.on_received(now)
             connection.awaiting_since, connection.pinged = 0.0, False
             connection.partial_frame_since = now if connection.link.reader.buffer else 0.0
             received, frame_error = [], None
@@ -506,8 +523,7 @@
                 and not connection.pinged
             ):
                 # A healthy host that accepts a launch only when its job runs may have nothing to send yet.
-                connection.pinged = True
-                connection.enqueue(ping_frame())
+                self.ping(connection, now)
             if connection.awaiting_since and now - connection.awaiting_since > RESPONSE_TIMEOUT:
                 raise LinkLostError(f"nothing received for {RESPONSE_TIMEOUT:g} s")
             if len(connection.outbox) > MAX_QUEUE:
@@ -537,9 +553,15 @@
                     if until <= now and task not in connection.unanswered
                 ]:
                     del tasks[task]
-            if last and not connection.awaiting_since and now - self.received_at > QUIET_BEFORE_PING:
-                connection.awaiting_since, connection.pinged = now, True
-                connection.enqueue(ping_frame())
+            if last and not connection.pinged and self.reachability.is_ping_due(now):
+                self.ping(connection, now)
+
+    def ping(self, connection: Connection, now: float) -> None:
+        """Pings the host; `check_timeouts` closes the connection if it sends nothing in time."""
+        connection.pinged = True
+        connection.awaiting_since = connection.awaiting_since or now
+        self.reachability.on_request(now)
+        connection.enqueue(ping_frame())
 
     # -- frames of the host
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,7 +12,7 @@
 import pytest
 
 from linedeal.net import TcpNet
-from linedeal.platform import config, host_codec, hostlink, service
+from linedeal.platform import config, host_codec, hostlink, reachability, service
 from linedeal.platform.host_codec import Code, Type
 from linedeal.platform.log import Log
 from tests.platform_fixture import (
@@ -343,8 +343,9 @@
 
 async def test_running_job_is_released_when_its_machine_vanishes(tmp_path, log, monkeypatch):
     # Guards against waiting for ever: the connection stays open and silent, and a new one cannot be opened.
-    for name, seconds in (("HOST_LOST_AFTER", 1.0), ("RESPONSE_TIMEOUT", 0.3), ("QUIET_BEFORE_PING", 0.3)):
-        monkeypatch.setattr(hostlink, name, seconds)
+    monkeypatch.setattr(hostlink, "RESPONSE_TIMEOUT", 0.3)
+    monkeypatch.setattr(reachability, "OUTAGE_TOLERATED", 1.0)
+    monkeypatch.setattr(reachability, "QUIET_BEFORE_PING", 0.3)
     vanished = []
 
     async def script(host, stream, frame):
@@ -368,8 +369,9 @@
 async def test_quiet_host_with_a_running_job_is_pinged_once_before_its_connection_is_closed(
     tmp_path, log, monkeypatch
 ):
-    for name, seconds in (("RESPONSE_TIMEOUT", 0.8), ("QUIET_BEFORE_PING", 0.3), ("CHECK_INTERVAL", 0.05)):
+    for name, seconds in (("RESPONSE_TIMEOUT", 0.8), ("CHECK_INTERVAL", 0.05)):
         monkeypatch.setattr(hostlink, name, seconds)
+    monkeypatch.setattr(reachability, "QUIET_BEFORE_PING", 0.3)
     silent = []
 
     async def script(host, stream, frame):
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -19,23 +19,33 @@
 from linedeal.platform.host_codec import Code, Type
 from linedeal.platform.hostlink import HostLink
 from linedeal.settings.records import Limits
-from tests.platform_fixture import answer
+from tests.platform_fixture import answer, release
 
 CONNECT_TIMEOUT = 0.25  # seconds
+OUTAGE = 6.0  # seconds for which the users' pages let a host be cut off and keep its tasks
+TOLD_WITHIN = 8.0  # seconds after a task's end in which its owner has to be told if the host cannot say so
 ANSWER_TIME = 0.05  # seconds that the host takes for an answer
+TASK = bytes.fromhex("0123456789abcdef")
+# Seconds after the job's start at which the trouble begins: all positions between two messages of the host.
+TROUBLE_STARTS = [10.0 + step * 0.1 for step in range(26)]
 
 
 class SimulatedHost:
     """A host and the network to it: answers launches and pings, and can be cut off in both directions."""
 
     def __init__(self, tasks):
-        self.tasks, self.reachable = tasks, anyio.Event()
+        self.tasks, self.reachable, self.repeats = tasks, anyio.Event(), []
         self.reachable.set()
+        self.streams = []
 
     async def connect(self, address):
         if not self.reachable.is_set():
             await anyio.sleep_forever()
         near, far = pipe()
+        self.streams.append(far)
+        for data in self.repeats:
+            await far.send(data)
+        self.repeats.clear()
         self.tasks.start_soon(self.serve, far)
         return near
 
@@ -48,7 +58,7 @@
                 for frame in reader.feed(data):
                     await self.reply(stream, frame)
         except (anyio.EndOfStream, anyio.ClosedResourceError, anyio.BrokenResourceError):
-            pass
+            self.streams.remove(stream)
 
     async def reply(self, stream, frame):
         if frame.type == Type.PING:
@@ -90,6 +100,12 @@
         job = SimpleNamespace(expiry=anyio.current_time() + 3.0)
         self.link.launch(effects.SendLaunch("h1", number, job, job.expiry, 0, work=task))
 
+    def adopt(self, number, task):
+        self.link.adopt(effects.Adopt(1, task.hex(), f"j{number}", "h1", number, task))
+
+    def times_of(self, kind):
+        return [at for at, event in self.events if type(event) is kind]
+
 
 def play(scenario):
     """Runs a scenario on a mock clock, which jumps to the next time at which something happens."""
@@ -111,6 +127,66 @@
     assert len(under_test.link.running) == connections == len(under_test.link.connections)
 
 
+@pytest.mark.parametrize("start", TROUBLE_STARTS)
+def test_host_cut_off_for_six_seconds_keeps_its_jobs(start):
+    # Guards against outages counted from the host's last message, which may be seconds before the outage.
+    async def scenario(under_test):
+        await start_jobs(under_test, 1)
+        await anyio.sleep(start)
+        under_test.host.cut_off()
+        under_test.host.repeats.append(release((1).to_bytes(8), 16))  # it ends meanwhile
+        await anyio.sleep(OUTAGE)
+        assert not under_test.times_of(events.HostLost)
+        under_test.host.reachable.set()
+        await anyio.sleep(2.0)
+        assert not under_test.times_of(events.HostLost)
+        assert len(under_test.times_of(events.LaunchEnded)) == 1
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("start", TROUBLE_STARTS)
+def test_jobs_of_a_vanished_host_are_lost_in_time(start):
+    # Guards against outages that are concluded too late, or never since nothing is left that connects again.
+    async def scenario(under_test):
+        await start_jobs(under_test, 1)
+        await anyio.sleep(start)
+        under_test.host.cut_off()
+        vanished_at = anyio.current_time()
+        await anyio.sleep(20)
+        assert [at - vanished_at <= TOLD_WITHIN for at in under_test.times_of(events.HostLost)][:1] == [True]
+
+    play(scenario)
+
+
+def test_handed_over_jobs_survive_a_connection_that_opens_late():
+    # Guards against the first failed attempt after a start counting as an outage of six seconds.
+    async def scenario(under_test):
+        await anyio.sleep(100.0)  # a system's clock is far from 0 when a controller starts
+        under_test.host.cut_off()
+        under_test.adopt(1, TASK)
+        await anyio.sleep(1.0)
+        under_test.host.reachable.set()
+        await anyio.sleep(1.0)
+        assert len(under_test.link.connections) == 1 and not under_test.times_of(events.HostLost)
+
+    play(scenario)
+
+
+def test_jobs_are_not_lost_for_want_of_a_descriptor():
+    # Guards against an attempt that was never made counting as one that the host did not answer.
+    async def scenario(under_test):
+        under_test.descriptors.add(owners=under_test.descriptors.budget)
+        under_test.adopt(1, TASK)
+        await anyio.sleep(20.0)
+        assert not under_test.times_of(events.HostLost)
+        under_test.descriptors.remove(owners=1)
+        await anyio.sleep(1.0)
+        assert len(under_test.link.connections) == 1
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("start", [step * 0.001 for step in range(100)])
 def test_link_connects_again_though_its_timer_fires_a_rounding_error_early(start, monkeypatch):
     # Guards against a retry whose time is compared with a clock of whole milliseconds and which is then never
