Test quiet hosts by connections, a limited number a second, in place of more pings

Change: after 1 s of silence a connection is opened as a test, read for 0.1 s (hosts repeat the ends of jobs on the next connection that opens) and closed; pings come after 2.5 s without a message again, as before. CheckPacer limits tests to 120 a second and controller, since connections may not grow with the fleet; where that is too few, the loss is decided 7.5 s after the host was last heard, whatever began unseen, so that a loss is always told in time. A test that finds no descriptor becomes a ping. An attempt that decides takes 0.5 s at most, whatever the settings' connect time-out.

--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -29,7 +29,7 @@
 from linedeal.platform import host_codec, owner_codec
 from linedeal.platform.descriptors import DescriptorBudget
 from linedeal.platform.host_codec import Code, Type
-from linedeal.platform.reachability import Reachability
+from linedeal.platform.reachability import CheckPacer, Reachability
 from linedeal.settings.records import Limits
 from linedeal.wiresettings import METRICS, REASONS
 
@@ -40,6 +40,7 @@
 RESPONSE_TIMEOUT = 2.0  # seconds for the host to send anything after a set-up or a ping
 PING_SHARE = 0.5  # of RESPONSE_TIMEOUT, after which a host that was sent a set-up is sent a ping
 SEND_TIMEOUT = 2.0  # seconds for the host to read what is written
+CHECK_READ_TIME = 0.1  # seconds for which a connection that was opened as a test is read
 RETRY_DELAY = 0.2  # seconds between attempts to connect to a host that runs jobs
 # Answers and releases in a row without effect, such as repeated ones and those for unknown tasks.
 MAX_USELESS_FRAMES = 2000
@@ -112,6 +113,7 @@
         report_names: dict[str, str],
         max_connections: Callable[[], int],
         descriptors: DescriptorBudget,
+        check_pacer: CheckPacer,
         is_awaited: Callable[[bytes], bool],
         inbox: Inbox,
         next_number,
@@ -131,7 +133,7 @@
             max_connections,
             next_number,
         )
-        self.descriptors, self.is_awaited = descriptors, is_awaited
+        self.descriptors, self.check_pacer, self.is_awaited = descriptors, check_pacer, is_awaited
         self.outbox: deque = deque()
         self.connections: list[Connection] = []
         self.task_by_launch: dict[int, bytes] = {}  # of launches that are unanswered or running
@@ -144,6 +146,7 @@
         self.wake = anyio.Event()
         self.scope = anyio.CancelScope()
         self.opening = False
+        self.checking = False  # whether a connection is being opened as a test
         # A connection was lost while jobs ran: the host repeats on the next one what it sent on the lost one.
         self.reopen = False
         self.reachability = Reachability(anyio.current_time())
@@ -333,7 +336,7 @@
             self.opening = False
             self.wake.set()
         now = anyio.current_time()
-        self.reachability.on_received(now)
+        self.reachability.on_connected(now)
         self.reopen = False
         connection = Connection(self.next_number(), Link(stream, host_codec.FrameReader()), now)
         self.connections.append(connection)
@@ -349,7 +352,7 @@
         began_at = anyio.current_time()
         self.reachability.on_request(began_at)
         try:
-            with anyio.fail_after(timeout):
+            with anyio.fail_after(self.reachability.attempt_timeout(began_at, timeout)):
                 stream = await self.net.connect(parse_address(self.listed.addresses[0]))
                 return stream
         except TimeoutError:
@@ -380,6 +383,38 @@
             self.log.warning("host lost", host=self.listed.id, reason=reason, standing=len(self.running))
             await self.inbox.post(events.HostLost(self.listed.id))
 
+    def may_check(self) -> bool:
+        """Whether a connection may be opened as a test; another host may have a gone one's address."""
+        busy = self.checking or self.opening
+        return bool(self.running) and not busy and self.listed.mode is not Mode.GONE
+
+    async def check(self) -> None:
+        """Tests a quiet host by a connection, which is closed again after what the host repeats on it.
+
+        The other connections stay as they are: the host sends what concerns a job on that of its set-up.
+        """
+        try:
+            stream = await self.connect()
+        except ConnectFailedError as failure:
+            if failure.began_at is None and self.connections:
+                self.ping(self.connections[0], anyio.current_time())
+            return
+        finally:
+            self.checking = False
+        now = anyio.current_time()
+        self.reachability.on_connected(now)
+        connection = Connection(self.next_number(), Link(stream, host_codec.FrameReader()), now)
+        try:
+            with anyio.move_on_after(CHECK_READ_TIME):
+                await self.read(connection)
+        except LinkLostError:
+            pass  # it was to be closed anyway
+        except Exception:
+            self.log.error("fault", where=self.listed.id, trace=traceback.format_exc())
+        finally:
+            await connection.link.close()
+            self.descriptors.remove(hosts=1)
+
     async def serve(self, connection: Connection) -> None:
         """Runs a connection until it ends, then reports what was on it."""
         try:
@@ -486,7 +521,7 @@
         while True:
             frames = await connection.link.receive_all()
             now = connection.used_at = anyio.current_time()
-            self.reachability.on_received(now)
+            self.reachability.on_message(now)
             connection.awaiting_since, connection.pinged = 0.0, False
             connection.partial_frame_since = now if connection.link.reader.buffer else 0.0
             received, frame_error = [], None
@@ -530,7 +565,6 @@
                 raise LinkLostError(f"{len(connection.outbox)} messages wait for it")
             if connection.closing and not connection.unanswered:
                 raise LinkLostError("its last launch was not answered")
-            last = self.running and len(self.connections) == 1
             if (
                 now - connection.used_at > self.idle_timeout * IDLE_SHARE
                 and not connection.unanswered
@@ -553,8 +587,12 @@
                     if until <= now and task not in connection.unanswered
                 ]:
                     del tasks[task]
+            last = self.running and len(self.connections) == 1
             if last and not connection.pinged and self.reachability.is_ping_due(now):
                 self.ping(connection, now)
+            if self.may_check() and self.reachability.is_check_due(now) and self.check_pacer.take(now):
+                self.checking = True
+                self.tasks.start_soon(self.check)
 
     def ping(self, connection: Connection, now: float) -> None:
         """Pings the host; `check_timeouts` closes the connection if it sends nothing in time."""
--- a/linedeal/platform/reachability.py
+++ b/linedeal/platform/reachability.py
@@ -1,17 +1,26 @@
-"""A failure detector for one host on which jobs run: when to ping it, and when its jobs count as lost.
+"""A failure detector for one host on which jobs run: when to test it, and when its jobs count as lost.
 
 A host may be cut off for some seconds and come back with its jobs, so silence alone proves nothing. An
-outage is known to have lasted from the first ping or connection attempt since the host's last message:
-before that the host may have had nothing to say. The jobs of a host that is gone have to be reported lost
-in limited time, so a quiet host is pinged often. Free of I/O; times are seconds on the event loop's clock.
+outage is known to have lasted from the first test since the host was last heard: before that the host may
+have had nothing to say. The jobs of a host that is gone have to be reported lost in limited time, so a quiet
+host is tested often. The test is a connection, which the host's system accepts at once; a ping, which costs
+the host work, follows if there is no message for longer. With more quiet hosts than may be tested, some
+outages begin unseen; their jobs are then reported lost when the last message is as old as it may be. Free of
+I/O; times are seconds on the event loop's clock.
 """
 
 import math
 
 OUTAGE_TOLERATED = 6.0  # seconds for which a host may be cut off and keep its jobs
-RECONNECT_MARGIN = 0.4  # seconds beyond that for a host that is back to accept a connection
-QUIET_BEFORE_PING = 0.75  # seconds of silence after which a host on which jobs run is sent a ping
+LOSS_DEADLINE = 7.5  # seconds after the host was last heard when its loss is decided, to be reported within 8
+RECONNECT_MARGIN = 0.2  # seconds beyond that for a host that is back to accept a connection
+DECISIVE_ATTEMPT_TIMEOUT = 0.5  # seconds at most for an attempt to connect that may show a loss
+QUIET_BEFORE_CHECK = 1.0  # seconds of silence after which a connection is opened as a test
+QUIET_BEFORE_PING = 2.5  # seconds without a message after which a host is sent a ping
+SECOND_PING_DELAY = 0.5  # seconds without a reply to a test after which open connections are pinged
 MIN_FAILED_ATTEMPTS = 3  # connections in a row that fail before an outage is concluded from one of them
+MAX_CHECKS_PER_SECOND = 120  # connections opened as tests, to all hosts
+MAX_CHECKS_AT_ONCE = 20  # of these after a time without any
 REFUSALS_BEFORE_LOST = 2  # refused connections in a row that show that the host's process has died
 
 
@@ -20,13 +29,19 @@
 
     def __init__(self, now: float):
         """Starts as if the host had been heard at `now`."""
-        self.heard_at = now
-        self.unanswered_since = math.inf  # the first ping or connection attempt since the last message
+        self.heard_at = now  # the last message, or accepted connection
+        self.message_at = now
+        self.unanswered_since = math.inf  # the first ping or attempt to connect since the host was heard
         self.failed_attempts = 0  # to connect, in a row
         self.refusals = 0  # refused connections in a row
 
-    def on_received(self, now: float) -> None:
-        """Notes that the host has sent something or accepted a connection."""
+    def on_message(self, now: float) -> None:
+        """Notes that the host has sent something."""
+        self.message_at = now
+        self.on_connected(now)
+
+    def on_connected(self, now: float) -> None:
+        """Notes that the host has accepted a connection."""
         self.heard_at, self.unanswered_since = now, math.inf
         self.failed_attempts = self.refusals = 0
 
@@ -39,9 +54,19 @@
         self.failed_attempts += 1
         self.refusals = self.refusals + 1 if refused else 0
 
+    def is_check_due(self, now: float) -> bool:
+        """Whether the host has been quiet for so long that a connection has to be opened as a test."""
+        return self.unanswered_since == math.inf and now - self.heard_at > QUIET_BEFORE_CHECK
+
     def is_ping_due(self, now: float) -> bool:
-        """Whether the host has been quiet for so long that it has to be pinged."""
-        return self.unanswered_since == math.inf and now - self.heard_at > QUIET_BEFORE_PING
+        """Whether a connection that has not been pinged since the last message on it has to be.
+
+        While the host can be reached, one ping on any of its connections is enough. Otherwise each of them is
+        pinged, so that all are closed if the host is gone: as long as one is left, nothing shows a loss.
+        """
+        if self.unanswered_since == math.inf:
+            return now - self.message_at > QUIET_BEFORE_PING
+        return now - self.unanswered_since > SECOND_PING_DELAY
 
     def is_lost(self, attempt_began_at: float) -> bool:
         """Whether the host's jobs are lost, now that the attempt to connect that began then has failed."""
@@ -51,7 +76,12 @@
 
     def decisive_attempt_at(self) -> float:
         """The time from which a connection that cannot be opened shows that the host's jobs are lost."""
-        return self.unanswered_since + OUTAGE_TOLERATED + RECONNECT_MARGIN
+        outage_over_at = self.unanswered_since + OUTAGE_TOLERATED + RECONNECT_MARGIN
+        return min(outage_over_at, self.heard_at + LOSS_DEADLINE)
+
+    def attempt_timeout(self, now: float, timeout: float) -> float:
+        """Seconds for an attempt to connect that begins now: `timeout`, or less if it is a decisive one."""
+        return min(timeout, DECISIVE_ATTEMPT_TIMEOUT) if now >= self.decisive_attempt_at() else timeout
 
     def next_attempt_at(self, now: float, delay: float, timeout: float) -> float:
         """When to connect again after a failure.
@@ -61,3 +91,20 @@
         """
         next_at, decisive_at = now + delay, self.decisive_attempt_at()
         return decisive_at if next_at < decisive_at < next_at + timeout else next_at
+
+
+class CheckPacer:
+    """Limits the connections that are opened as tests, to all hosts together: a token bucket."""
+
+    def __init__(self):
+        """Starts with a full bucket."""
+        self.tokens, self.refilled_at = float(MAX_CHECKS_AT_ONCE), 0.0
+
+    def take(self, now: float) -> bool:
+        """Whether one more test may begin now; it is counted then."""
+        refilled = self.tokens + (now - self.refilled_at) * MAX_CHECKS_PER_SECOND
+        self.tokens, self.refilled_at = min(refilled, float(MAX_CHECKS_AT_ONCE)), now
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -17,6 +17,7 @@
 from linedeal.platform.descriptors import DescriptorBudget
 from linedeal.platform.hostlink import INCARNATION, HostLink
 from linedeal.platform.ownerlink import OwnerServer
+from linedeal.platform.reachability import CheckPacer
 from linedeal.platform.router import Router
 
 ACCEPT_AFTER_SIGTERM = 0.8  # seconds for which jobs are still accepted
@@ -54,6 +55,7 @@
         self.stepper = EngineStepper(self.engine, self.inbox, setup.cluster.limits.tick)
         self.router = Router(setup.cluster.settings)
         self.descriptors = DescriptorBudget(setup.sockets)
+        self.check_pacer = CheckPacer()
         self.lateness = Lateness()
         self.owners = OwnerServer(
             self.router, self.net, self.inbox, self.descriptors, self.lateness, self.next_number, self.log
@@ -214,6 +216,7 @@
                 setup.report_names,
                 self.connections_per_host,
                 self.descriptors,
+                self.check_pacer,
                 self.router.is_awaited,
                 self.inbox,
                 self.next_number,
