Ping every connection of a host that does not answer, however many are open

Cause: check_timeouts pinged a quiet host only while exactly one connection to it was open; as long as one is left, a failed attempt to connect shows nothing.

--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -587,8 +587,7 @@
                     if until <= now and task not in connection.unanswered
                 ]:
                     del tasks[task]
-            last = self.running and len(self.connections) == 1
-            if last and not connection.pinged and self.reachability.is_ping_due(now):
+            if self.running and not connection.pinged and self.reachability.is_ping_due(now):
                 self.ping(connection, now)
             if self.may_check() and self.reachability.is_check_due(now) and self.check_pacer.take(now):
                 self.checking = True
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -132,7 +132,7 @@
     assert len(under_test.link.running) >= connections == len(under_test.link.connections)
 
 
-@pytest.mark.parametrize("connections", [1])
+@pytest.mark.parametrize("connections", [1, 2, 4])
 @pytest.mark.parametrize("start", TROUBLE_STARTS)
 def test_host_cut_off_for_six_seconds_keeps_its_jobs(start, connections):
     # Guards against outages counted from the host's last message, which may be seconds before the outage.
@@ -151,10 +151,10 @@
     play(scenario)
 
 
-@pytest.mark.parametrize("connections, connect_timeout", [(1, 0.3), (1, 1.05)])
+@pytest.mark.parametrize("connections, connect_timeout", [(1, 0.3), (2, 0.3), (4, 0.3), (2, 1.05)])
 @pytest.mark.parametrize("start", TROUBLE_STARTS)
 def test_jobs_of_a_vanished_host_are_lost_in_time(start, connections, connect_timeout):
-    # Guards against outages that are concluded too late, or never since nothing is left that connects again.
+    # Guards against outages that are concluded too late, or never since open connections are left untested.
     async def scenario(under_test):
         await start_jobs(under_test, connections)
         await anyio.sleep(start)
@@ -172,7 +172,7 @@
     # Guards against a limit on tests, used up by other hosts, that makes the report of a loss late.
     async def scenario(under_test):
         under_test.link.check_pacer.take = lambda now: False
-        await start_jobs(under_test, 1)
+        await start_jobs(under_test, 2)
         await anyio.sleep(start)
         under_test.host.cut_off()
         vanished_at = anyio.current_time()
