Read what arrived before a connection to a host is closed for silence

Cause: the timer of the check and the data are due in the same round of the loop, and the check did not let the reader run first. Change: let_readers_run before the conclusion, and a second look. Evidence: a reply put into the connection and the clock moved on, twenty times with the order left to chance: the test fails before and passes after. Not mended: keep_alive of linedeal's own links, which lose nothing by it but a link.

--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -95,6 +95,10 @@
         self.useless_frames = 0  # answers and releases since the last that had an effect
         self.closing = False  # gets no further launches
 
+    def is_unanswered(self, now: float) -> bool:
+        """Whether the host has sent nothing for too long although a reply is due."""
+        return bool(self.awaiting_since) and now - self.awaiting_since > RESPONSE_TIMEOUT
+
     def enqueue(self, effect) -> None:
         """Queues an effect, or the bytes of a frame."""
         self.outbox.append(effect)
@@ -559,8 +563,11 @@
             ):
                 # A healthy host that accepts a launch only when its job runs may have nothing to send yet.
                 self.ping(connection, now)
-            if connection.awaiting_since and now - connection.awaiting_since > RESPONSE_TIMEOUT:
-                raise LinkLostError(f"nothing received for {RESPONSE_TIMEOUT:g} s")
+            if connection.is_unanswered(now):
+                # If this process stood still, the reply may have arrived and be unread.
+                await let_readers_run()
+                if connection.is_unanswered(now):
+                    raise LinkLostError(f"nothing received for {RESPONSE_TIMEOUT:g} s")
             if len(connection.outbox) > MAX_QUEUE:
                 raise LinkLostError(f"{len(connection.outbox)} messages wait for it")
             if connection.closing and not connection.unanswered:
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -63,9 +63,7 @@
 
     async def reply(self, stream, frame):
         if frame.type == Type.PING:
-            await stream.send(
-                host_codec.encode(Type.PONG, frame.task, host_codec.parameter(Code.CAUSE, b"\x01"))
-            )
+            await stream.send(pong(frame.task))
         elif frame.type == Type.SETUP:
             await anyio.sleep(ANSWER_TIME)
             await stream.send(answer(frame.task))
@@ -74,6 +72,14 @@
         self.reachable = anyio.Event()
 
 
+async def ignore(stream, frame):
+    pass
+
+
+def pong(task):
+    return host_codec.encode(Type.PONG, task, host_codec.parameter(Code.CAUSE, b"\x01"))
+
+
 class LinkUnderTest:
     """One host link with its simulated host; `events` has what it reported, each with the time."""
 
@@ -183,6 +189,25 @@
     play(scenario)
 
 
+def test_replies_that_arrived_during_a_stall_keep_their_connection():
+    # Guards against a connection closed for silence though the reply lies unread: this process stood still.
+    async def scenario(under_test):
+        await start_jobs(under_test, 1)
+        (connection,) = under_test.link.connections
+        (stream,) = under_test.host.streams
+        under_test.host.reply = ignore
+        for _ in range(20):  # which of two tasks runs first after a stall is left to chance
+            while not connection.awaiting_since:
+                await anyio.sleep(0.1)
+            await anyio.sleep(1.0)
+            stream.send_stream.send_nowait(pong(bytes(8)))
+            trio.lowlevel.current_clock().jump(2.0)
+            await anyio.sleep(0.5)
+            assert under_test.link.connections == [connection]
+
+    play(scenario)
+
+
 def test_release_lost_with_a_half_open_connection_arrives_on_the_next_test():
     # Guards against tests that open a connection without reading what the host repeats on it.
     async def scenario(under_test):
