--- a/linedeal/platform/reachability.py
+++ b/linedeal/platform/reachability.py
@@ -19,7 +19,7 @@
 QUIET_BEFORE_PING = 2.5  # seconds without a message after which a host is sent a ping
 SECOND_PING_DELAY = 0.5  # seconds without a reply to a test after which open connections are pinged
 MIN_FAILED_ATTEMPTS = 3  # connections in a row that fail before an outage is concluded from one of them
-MAX_CHECKS_PER_SECOND = 120  # connections opened as tests, to all hosts
+MAX_CHECKS_PER_SECOND = 200  # connections opened as tests, to all hosts
 MAX_CHECKS_AT_ONCE = 20  # of these after a time without any
 REFUSALS_BEFORE_LOST = 2  # refused connections in a row that show that the host's process has died
 
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -189,6 +189,22 @@
     play(scenario)
 
 
+def test_host_cut_off_keeps_its_jobs_though_no_check_is_free():
+    # Guards against a limit on tests, used up by other hosts, that lets an outage of 6 s begin unseen.
+    async def scenario(under_test, start):
+        under_test.link.check_pacer.take = lambda now: False
+        await start_jobs(under_test, 1)
+        await anyio.sleep(start)
+        under_test.host.cut_off()
+        await anyio.sleep(OUTAGE)
+        under_test.host.reachable.set()
+        await anyio.sleep(2.0)
+        assert not under_test.times_of(events.HostLost), f"lost when cut off after {start:.1f} s"
+
+    for start in TROUBLE_STARTS:
+        play(partial(scenario, start=start))
+
+
 def test_replies_that_arrived_during_a_stall_keep_their_connection():
     # Guards against a connection closed for silence though the reply lies unread: this process stood still.
     async def scenario(under_test):
