Ping a quiet host where the descriptors are used up, in place of a connection as a test

Cause, read over again: a test that waited for a descriptor counted as a connection to a host that needs one, for which idle owners' connections are closed. Change: no test is opened while the budget is full; the host is pinged then. Measured: the new test fails before (a test waits for a descriptor) and passes after.

--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -399,10 +399,8 @@
         """
         try:
             stream = await self.connect()
-        except ConnectFailedError as failure:
-            if failure.began_at is None and self.connections:
-                self.ping(self.connections[0], anyio.current_time())
-            return
+        except ConnectFailedError:
+            return  # `is_ping_due` follows: the connections that are open are tested by pings
         finally:
             self.checking = False
         now = anyio.current_time()
@@ -597,8 +595,11 @@
             if self.running and not connection.pinged and self.reachability.is_ping_due(now):
                 self.ping(connection, now)
             if self.may_check() and self.reachability.is_check_due(now) and self.check_pacer.take(now):
-                self.checking = True
-                self.tasks.start_soon(self.check)
+                if self.descriptors.full:
+                    self.ping(connection, now)  # a test closes no owner's connection
+                else:
+                    self.checking = True
+                    self.tasks.start_soon(self.check)
 
     def ping(self, connection: Connection, now: float) -> None:
         """Pings the host; `check_timeouts` closes the connection if it sends nothing in time."""
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -224,6 +224,23 @@
     play(scenario)
 
 
+def test_quiet_hosts_are_pinged_while_descriptors_are_used_up():
+    # Guards against tests of hosts that cost idle owners their connections, and hosts left untested for that.
+    async def scenario(under_test):
+        await start_jobs(under_test, 1)
+        connections = list(under_test.link.connections)
+        under_test.descriptors.add(owners=under_test.descriptors.budget)
+        for _ in range(2000):
+            await anyio.sleep(0.01)
+            assert not under_test.descriptors.waiting_for_host
+        assert under_test.link.connections == connections and len(under_test.host.streams) == 1
+        under_test.host.cut_off()
+        await anyio.sleep(TOLD_WITHIN)
+        assert under_test.link.reachability.unanswered_since < anyio.current_time()
+
+    play(scenario)
+
+
 def test_release_lost_with_a_half_open_connection_arrives_on_the_next_test():
     # Guards against tests that open a connection without reading what the host repeats on it.
     async def scenario(under_test):
