Let what a test of a host has read reach the engine though the test's time is over

Cause, read over again: a test's time could end while HostLink.read waited for room in the engine's inbox; the end of a job that was read was then dropped. Change: only the wait for data ends at the deadline; read is parted into read, read_until and handle_frames. A test that becomes a ping is not repeated while that ping is unanswered.

--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -407,8 +407,7 @@
         self.reachability.on_connected(now)
         connection = Connection(self.next_number(), Link(stream, host_codec.FrameReader()), now)
         try:
-            with anyio.move_on_after(CHECK_READ_TIME):
-                await self.read(connection)
+            await self.read_until(connection, now + CHECK_READ_TIME)
         except LinkLostError:
             pass  # it was to be closed anyway
         except Exception:
@@ -521,29 +520,42 @@
     async def read(self, connection: Connection) -> None:
         """Reads frames and posts the engine's events of them. Raises LinkLostError."""
         while True:
-            frames = await connection.link.receive_all()
-            now = connection.used_at = anyio.current_time()
-            self.reachability.on_message(now)
-            connection.awaiting_since, connection.pinged = 0.0, False
-            connection.partial_frame_since = now if connection.link.reader.buffer else 0.0
-            received, frame_error = [], None
-            for frame in frames:
-                try:
-                    event = self.handle_frame(connection, frame)
-                except FrameError as error:
-                    frame_error = error
-                    break
-                if event is not None:
-                    received.append(event)
-                    connection.useless_frames = 0
-                elif frame.type in (Type.ANSWER, Type.RELEASE):
-                    connection.useless_frames += 1
-            await self.inbox.post(*received)
-            if frame_error is not None:
-                raise LinkLostError(f"bad frame: {frame_error}")
-            if connection.useless_frames > MAX_USELESS_FRAMES:
-                # Guards against a host whose frames occupy the loop.
-                raise LinkLostError(f"{connection.useless_frames} answers in a row to no launch")
+            await self.handle_frames(connection, await connection.link.receive_all())
+
+    async def read_until(self, connection: Connection, deadline: float) -> None:
+        """As `read`, until loop time `deadline`; what has been read by then is handled to its end."""
+        while True:
+            frames = None
+            with anyio.move_on_at(deadline):
+                frames = await connection.link.receive_all()
+            if frames is None:
+                return
+            await self.handle_frames(connection, frames)
+
+    async def handle_frames(self, connection: Connection, frames: list[host_codec.Frame]) -> None:
+        """Posts the engine's events of frames that have arrived together. Raises LinkLostError."""
+        now = connection.used_at = anyio.current_time()
+        self.reachability.on_message(now)
+        connection.awaiting_since, connection.pinged = 0.0, False
+        connection.partial_frame_since = now if connection.link.reader.buffer else 0.0
+        received, frame_error = [], None
+        for frame in frames:
+            try:
+                event = self.handle_frame(connection, frame)
+            except FrameError as error:
+                frame_error = error
+                break
+            if event is not None:
+                received.append(event)
+                connection.useless_frames = 0
+            elif frame.type in (Type.ANSWER, Type.RELEASE):
+                connection.useless_frames += 1
+        await self.inbox.post(*received)
+        if frame_error is not None:
+            raise LinkLostError(f"bad frame: {frame_error}")
+        if connection.useless_frames > MAX_USELESS_FRAMES:
+            # Guards against a host whose frames occupy the loop.
+            raise LinkLostError(f"{connection.useless_frames} answers in a row to no launch")
 
     async def check_timeouts(self, connection: Connection) -> None:
         """Pings a silent host. Raises LinkLostError if the connection hangs or is no longer needed."""
@@ -595,11 +607,15 @@
             if self.running and not connection.pinged and self.reachability.is_ping_due(now):
                 self.ping(connection, now)
             if self.may_check() and self.reachability.is_check_due(now) and self.check_pacer.take(now):
-                if self.descriptors.full:
-                    self.ping(connection, now)  # a test closes no owner's connection
-                else:
-                    self.checking = True
-                    self.tasks.start_soon(self.check)
+                self.test_host(connection, now)
+
+    def test_host(self, connection: Connection, now: float) -> None:
+        """Begins a test of a quiet host, for which no connection of an owner has to be closed."""
+        if not self.descriptors.full:
+            self.checking = True
+            self.tasks.start_soon(self.check)
+        elif not connection.pinged:
+            self.ping(connection, now)
 
     def ping(self, connection: Connection, now: float) -> None:
         """Pings the host; `check_timeouts` closes the connection if it sends nothing in time."""
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -13,6 +13,7 @@
 from linedeal.engine import effects, events
 from linedeal.interface import Mode
 from linedeal.loop import Inbox
+from linedeal.loop.inbox import MAX_WAITING
 from linedeal.net.memory import pipe
 from linedeal.platform import host_codec
 from linedeal.platform.descriptors import DescriptorBudget
@@ -87,7 +88,7 @@
         self.events = []
         self.host = SimulatedHost(tasks)
         self.descriptors = DescriptorBudget(256)
-        inbox = Inbox(lambda event: self.events.append((anyio.current_time(), event)))
+        self.inbox = Inbox(lambda event: self.events.append((anyio.current_time(), event)))
         self.link = HostLink(
             events.ListedHost("h1", ("127.0.0.1:5070",), "std", "z", 0, Mode.SERVING, 0, 1e7, 36, 80),
             self.host,
@@ -98,7 +99,7 @@
             self.descriptors,
             CheckPacer(),
             lambda task: True,
-            inbox,
+            self.inbox,
             partial(next, itertools.count(1)),
             structlog.get_logger(),
         )
@@ -253,6 +254,20 @@
     play(scenario)
 
 
+def test_release_read_on_a_test_is_not_lost_while_the_engine_is_busy():
+    # Guards against a test that ends while what it has read waits for room in the engine's inbox.
+    async def scenario(under_test):
+        await start_jobs(under_test, 1)
+        under_test.host.repeats.append(release((1).to_bytes(8), 16))
+        under_test.inbox.waiting = MAX_WAITING
+        await anyio.sleep(2.0)
+        under_test.inbox.clear()
+        await anyio.sleep(0.1)
+        assert len(under_test.times_of(events.LaunchEnded)) == 1
+
+    play(scenario)
+
+
 def test_tests_of_all_hosts_together_are_limited():
     # Guards against fleets whose size drives up the connections of each controller.
     pacer, taken = CheckPacer(), 0
