Open no connections as tests to a host whose process hangs

Cause, read over again: the system of a host whose process hangs accepts connections, so it was tested each second by every controller, which fills its queue until new ones do not come up; and each new connection was pinged at once. Change: no tests after 4 s without a message; a new connection is pinged after 2.5 s again.

--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -78,7 +78,7 @@
 
     def __init__(self, number: int, link: Link, now: float):
         """`number`: identifies the connection in the engine's events."""
-        self.number, self.link = number, link
+        self.number, self.link, self.opened_at = number, link, now
         self.outbox: deque = deque()
         self.wake = anyio.Event()
         self.unanswered: dict[bytes, int] = {}  # launches without an answer, by task
@@ -604,7 +604,11 @@
                     if until <= now and task not in connection.unanswered
                 ]:
                     del tasks[task]
-            if self.running and not connection.pinged and self.reachability.is_ping_due(now):
+            if (
+                self.running
+                and not connection.pinged
+                and self.reachability.is_ping_due(now, connection.opened_at)
+            ):
                 self.ping(connection, now)
             if self.may_check() and self.reachability.is_check_due(now) and self.check_pacer.take(now):
                 self.test_host(connection, now)
--- a/linedeal/platform/reachability.py
+++ b/linedeal/platform/reachability.py
@@ -17,6 +17,7 @@
 DECISIVE_ATTEMPT_TIMEOUT = 0.5  # seconds at most for an attempt to connect that may show a loss
 QUIET_BEFORE_CHECK = 1.0  # seconds of silence after which a connection is opened as a test
 QUIET_BEFORE_PING = 2.5  # seconds without a message after which a host is sent a ping
+MESSAGE_AGE_MAX = 4.0  # seconds without a message after which no connection is opened as a test
 SECOND_PING_DELAY = 0.5  # seconds without a reply to a test after which open connections are pinged
 MIN_FAILED_ATTEMPTS = 3  # connections in a row that fail before an outage is concluded from one of them
 MAX_CHECKS_PER_SECOND = 200  # connections opened as tests, to all hosts
@@ -55,17 +56,21 @@
         self.refusals = self.refusals + 1 if refused else 0
 
     def is_check_due(self, now: float) -> bool:
-        """Whether the host has been quiet for so long that a connection has to be opened as a test."""
-        return self.unanswered_since == math.inf and now - self.heard_at > QUIET_BEFORE_CHECK
+        """Whether the host has been quiet for so long that a connection has to be opened as a test.
 
-    def is_ping_due(self, now: float) -> bool:
-        """Whether a connection that has not been pinged since the last message on it has to be.
+        Not if it answers no pings either: its process hangs, and would find them all in its queue.
+        """
+        quiet = now - self.heard_at > QUIET_BEFORE_CHECK
+        return quiet and self.unanswered_since == math.inf and now - self.message_at <= MESSAGE_AGE_MAX
+
+    def is_ping_due(self, now: float, opened_at: float) -> bool:
+        """Whether a connection that was opened then and has not been pinged since its last message has to be.
 
         While the host can be reached, one ping on any of its connections is enough. Otherwise each of them is
         pinged, so that all are closed if the host is gone: as long as one is left, nothing shows a loss.
         """
         if self.unanswered_since == math.inf:
-            return now - self.message_at > QUIET_BEFORE_PING
+            return now - max(self.message_at, opened_at) > QUIET_BEFORE_PING
         return now - self.unanswered_since > SECOND_PING_DELAY
 
     def is_lost(self, attempt_began_at: float) -> bool:
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -18,8 +18,13 @@
 from linedeal.platform import host_codec
 from linedeal.platform.descriptors import DescriptorBudget
 from linedeal.platform.host_codec import Code, Type
-from linedeal.platform.hostlink import HostLink
-from linedeal.platform.reachability import MAX_CHECKS_AT_ONCE, MAX_CHECKS_PER_SECOND, CheckPacer
+from linedeal.platform.hostlink import RESPONSE_TIMEOUT, HostLink
+from linedeal.platform.reachability import (
+    MAX_CHECKS_AT_ONCE,
+    MAX_CHECKS_PER_SECOND,
+    QUIET_BEFORE_PING,
+    CheckPacer,
+)
 from linedeal.settings.records import Limits
 from tests.platform_fixture import answer, release
 
@@ -242,6 +247,28 @@
     play(scenario)
 
 
+def test_hanging_host_is_connected_to_no_oftener_than_its_connections_are_given_up():
+    # Guards against a host whose process hangs and whose queue of new connections is filled by tests.
+    async def scenario(under_test):
+        await start_jobs(under_test, 1)
+        under_test.host.reply = ignore
+        opened = []
+        connect = under_test.host.connect
+
+        async def counted(address):
+            opened.append(anyio.current_time())
+            return await connect(address)
+
+        under_test.host.connect = counted
+        hangs_from = anyio.current_time()
+        await anyio.sleep(60.0)
+        assert not under_test.times_of(events.HostLost)
+        late = [at for at in opened if at > hangs_from + 5.0]
+        assert len(late) <= 55.0 / (QUIET_BEFORE_PING + RESPONSE_TIMEOUT)
+
+    play(scenario)
+
+
 def test_release_lost_with_a_half_open_connection_arrives_on_the_next_test():
     # Guards against tests that open a connection without reading what the host repeats on it.
     async def scenario(under_test):
