--- a/linedeal/platform/reachability.py
+++ b/linedeal/platform/reachability.py
@@ -13,7 +13,7 @@
 
 OUTAGE_TOLERATED = 6.0  # seconds for which a host may be cut off and keep its jobs
 LOSS_DEADLINE = 7.5  # seconds after the host was last heard when its loss is decided, to be reported within 8
-RECONNECT_MARGIN = 0.2  # seconds beyond that for a host that is back to accept a connection
+RECONNECT_MARGIN = 0.2  # seconds beyond OUTAGE_TOLERATED for a host that is back to accept a connection
 DECISIVE_ATTEMPT_TIMEOUT = 0.5  # seconds at most for an attempt to connect that may show a loss
 QUIET_BEFORE_CHECK = 1.0  # seconds of silence after which a connection is opened as a test
 QUIET_BEFORE_PING = 2.5  # seconds without a message after which a host is sent a ping
