Review case 6: a bad client is sent the release of a usual owner's job

Promise: what has stood and is over is released towards its client. Disruption: a bad client names, with `at`, a task that no host knows.

--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,55 @@
+"""A bad client names a task that no host knows: releases have to go to the usual owner all the same."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from platform2 import Bus, Controller, Host, NotRunError, Owner, new_task, play, setup
+
+IDLE = 4.0  # seconds after which an owner closes a connection without a task
+LIMIT = 8.05  # seconds after its end by which a job has to be released, however its release was lost
+
+
+async def case(record, folder, controllers, trouble):
+    """A job's connection has been closed by its owner, who has another one open, as the job ends."""
+    bus = Bus(record)
+    await bus.start()
+    lives = iter([9.0])
+    hosts = [Host(record, f"s-{n:08x}", life=lambda: next(lives, 60.0)) for n in range(8)]
+    for host in hosts:
+        await host.start()
+    bus.tell(*(host.entry() for host in hosts), full=True)
+    controller = Controller(record, bus, folder)
+    controllers.append(controller)
+    await controller.start()
+
+    first = await Owner(record).connect(controller.address)
+    job = new_task()
+    first.send(setup(job))
+    if not await first.wait_for(job, ("answer",), 6.0):
+        raise NotRunError("the job was not placed")
+    await asyncio.sleep(IDLE)
+    first.close()
+    second = await Owner(record).connect(controller.address)
+    other = new_task()
+    second.send(setup(other))
+    if not await second.wait_for(other, ("answer",), 6.0):
+        raise NotRunError("the second job was not placed")
+    if trouble:
+        bad = await Owner(record, "bad").connect(controller.address)
+        bad.send(setup(new_task(), at=hosts[1].name))
+
+    task = bytes.fromhex(job)
+    while not (ended := next((host.ended[task] for host in hosts if task in host.ended), None)):
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(LIMIT)
+    if second.message(job, "release"):
+        return []
+    stranger = "; the bad client was sent it instead" if trouble and bad.message(job, "release") else ""
+    return [f"{job} came to its end at {ended:.3f} and was not released to its owner{stranger}"]
+
+
+if __name__ == "__main__":
+    play(case, Path(__file__).resolve().parent)
