--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A bad client names a task that no host knows: releases have to go to the usual owner all the same."""
+"""A bad client takes hundreds of requests back: releases have to go to the usual owner all the same."""
 
 import asyncio
 import sys
@@ -6,8 +6,9 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from platform2 import Bus, Controller, Host, NotRunError, Owner, new_task, play, setup
+from platform2 import Bus, Controller, Host, NotRunError, Owner, given_up, new_task, play, setup
 
+REQUESTS = 300  # of the bad client
 IDLE = 4.0  # seconds after which an owner closes a connection without a task
 LIMIT = 8.05  # seconds after its end by which a job has to be released, however its release was lost
 
@@ -39,7 +40,10 @@
         raise NotRunError("the second job was not placed")
     if trouble:
         bad = await Owner(record, "bad").connect(controller.address)
-        bad.send(setup(new_task(), at=hosts[1].name))
+        requests = [new_task() for _ in range(REQUESTS)]
+        bad.send(*(setup(request, service=f"{n % 20:016x}") for n, request in enumerate(requests)))
+        await asyncio.sleep(0.2)
+        bad.send(*(given_up(request) for request in requests))
 
     task = bytes.fromhex(job)
     while not (ended := next((host.ended[task] for host in hosts if task in host.ended), None)):
--- a/review/platform2.py
+++ b/review/platform2.py
@@ -20,6 +20,7 @@
 import tomllib
 import weakref
 from pathlib import Path
+from random import Random
 
 ROOT = Path(__file__).resolve().parent.parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # a case's exit status
@@ -41,7 +42,7 @@
 
     def __init__(self):
         """Starts now."""
-        self.began, self.lines = time.monotonic(), []
+        self.began, self.lines, self.file = time.monotonic(), [], None
 
     def now(self):
         """Seconds since the start."""
@@ -51,6 +52,8 @@
         """Notes one line, and returns its time."""
         at = self.now()
         self.lines.append(f"{at:9.3f}  {who:<12} {what}")
+        if self.file is not None:
+            print(self.lines[-1], file=self.file)
         return at
 
     def write(self, path):
@@ -376,6 +379,46 @@
                         standing.connection.write(note)
 
 
+class HostProcess:
+    """A host as a process of its own, which can be stopped and continued. Its record joins the case's.
+
+    `lives`: the least and the most seconds for which a task stands there.
+    """
+
+    def __init__(self, record, folder, name, lives):
+        """Starts it."""
+        self.record, self.name, self.path = record, name, Path(folder) / f"{name}.host"
+        order = [sys.executable, __file__, name, str(record.began), str(self.path), *map(str, lives)]
+        self.child = subprocess.Popen(order, stdin=subprocess.DEVNULL, stdout=subprocess.PIPE, text=True)
+        listed = Host(record, name)
+        listed.port = int(self.child.stdout.readline())
+        self.entry = listed.entry
+
+    def signal(self, number):
+        """Sends it a signal."""
+        self.record.add(self.name, f"is sent {signal.Signals(number).name}")
+        self.child.send_signal(number)
+
+    def end(self):
+        """Ends it, and takes over its record."""
+        if self.child.poll() is None:
+            self.child.kill()
+            self.child.wait()
+            if self.path.exists():
+                self.record.lines += self.path.read_text().splitlines()
+                self.record.lines.sort(key=lambda line: line[:9])
+
+
+async def run_host(name, began, path, least, most):
+    """Runs a host until it is killed; writes its record line by line."""
+    record, random = Record(), Random(name)
+    record.began, record.file = float(began), open(path, "w", buffering=1)
+    host = Host(record, name, life=lambda: random.uniform(float(least), float(most)), notes_every=0.5)
+    await host.start()
+    print(host.port, flush=True)
+    await asyncio.Event().wait()
+
+
 class Owner:
     """One connection of an owner; `got` has the lines received, by task."""
 
@@ -605,3 +648,7 @@
         shutil.rmtree(temporary, ignore_errors=True)
     print("\n".join(line for line in record.lines if "VERDICT" in line), flush=True)
     os._exit(status)  # without the complaints of connections that outlive their loop
+
+
+if __name__ == "__main__":
+    asyncio.run(run_host(*sys.argv[1:]))
