Review case 6: the bad client waits half a second before it takes its requests back

Cause: on a slow machine none of its requests might be accepted within 0.2 s, and the case would show nothing.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -42,7 +42,7 @@
         bad = await Owner(record, "bad").connect(controller.address)
         requests = [new_task() for _ in range(REQUESTS)]
         bad.send(*(setup(request, service=f"{n % 20:016x}") for n, request in enumerate(requests)))
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(0.5)
         bad.send(*(given_up(request) for request in requests))
 
     task = bytes.fromhex(job)
