--- a/review/6/case.py
+++ b/review/6/case.py
@@ -56,4 +56,4 @@
 
 
 if __name__ == "__main__":
-    play(case, Path(__file__).resolve().parent)
+    play(case, Path(__file__).resolve().with_name("record.txt"))
--- a/review/platform2.py
+++ b/review/platform2.py
@@ -617,10 +617,11 @@
         self.log.close()
 
 
-def play(case, folder, limit=110):
+def play(case, path, limit=110):
     """Plays `case`, an async function of the record, a temporary folder, the controllers and the trouble.
 
-    It adds those that it starts to the list, and returns the violations that it saw. Exits with the status.
+    It adds those that it starts to the list, and returns the violations that it saw. The record goes to the
+    file at `path`. Exits with the status.
     """
     record, controllers, status = Record(), [], NOT_RUN
     trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -644,7 +645,7 @@
             controller.end()
         for log in sorted(Path(temporary).glob("*.log")):
             record.lines += ["", f"log of {log.stem}:", *log.read_text(errors="replace").splitlines()[-60:]]
-        record.write(Path(folder) / "record.txt")
+        record.write(path)
         shutil.rmtree(temporary, ignore_errors=True)
     print("\n".join(line for line in record.lines if "VERDICT" in line), flush=True)
     os._exit(status)  # without the complaints of connections that outlive their loop
