Take set-ups that name running jobs again as valid, however many there are

Cause: Router.handle_setup gave such a line the result of a repeated open set-up (valid=False). OwnerServer.count_invalid pauses 50 ms after each of these and closes after the 21st; its counter "refused as read" rose by one with each line.

Change: such a line is valid and without effect. A repeat of an open set-up counts as before.

--- a/linedeal/platform/router.py
+++ b/linedeal/platform/router.py
@@ -87,8 +87,11 @@
             request = owner_codec.parse_request(line, self.settings)
         except owner_codec.InvalidRequestError:
             return self.refuse(line.id)
+        if known is not None and known.running and request.host:
+            # Its owner may name, on any connection, what this controller holds already.
+            return LineResult()
         if known is not None:
-            if known.client == client and not known.running or known.running and request.host:
+            if known.client == client and not known.running:
                 # the first set-up with this id stays in effect and is answered
                 return LineResult(valid=False)
             raise UnanswerableError("a second set-up under the id of a known task")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,7 +12,7 @@
 import pytest
 
 from linedeal.net import TcpNet
-from linedeal.platform import config, host_codec, hostlink, reachability, service
+from linedeal.platform import config, host_codec, hostlink, ownerlink, reachability, service
 from linedeal.platform.host_codec import Code, Type
 from linedeal.platform.log import Log
 from tests.platform_fixture import (
@@ -425,6 +425,27 @@
         assert (await owner.wait_for("release", A))[2] == 16 and len(owner.received) == 2
 
 
+async def test_owner_that_names_running_jobs_again_keeps_its_connection(tmp_path, log):
+    # Guards against counting such set-ups as invalid: after 21 of them the connection was closed, and the new
+    # jobs behind them got no answer.
+    running = [f"{number:016x}" for number in range(2 * ownerlink.MAX_INVALID_LINES)]
+    async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
+        first, second = await g.client(), await g.client()
+        for task in running:
+            await first.setup(task)
+        for task in running:
+            await first.wait_for("answer", task)
+        for task in running:
+            await second.setup(task, at="h1", left="4294967")
+        await second.setup(A)
+        assert (await second.wait_for("answer", A))[3] == SDP + "host\r\n"
+        assert not second.closed.is_set() and len(second.received) == 1
+        assert (
+            g.service.owners.counts["refused as read"] == 0
+            and running_job_count(g.service, "h1") == len(running) + 1
+        )
+
+
 BAD = [
     b"\x00\xff\n",
     b"{}\n",
