Tell the end of a job to a connection that has shown to be an owner's

Callers saw: an owner closed the connection of a job that stood and had another open; a bad client sent 300 set-ups and took them all back.

Cause: OwnerServer.send gave such a release to the newest connection that had ever placed a job (`has_placed_job`). Jobs that were taken back, and set-ups with `at` for hosts that do not exist, set that mark for good.

Change: platform/recipients.py keeps what each open connection has done and chooses by it. A job that runs, or ran until its host ended it, is evidence; one that was taken back is none; one handed over is little until its host confirms it. A job counts after 0.6 s. The same evidence decides which idle connections are closed, and gets releases that wait.

--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -9,6 +9,7 @@
 from linedeal.net import Address, Link, LinkLostError, Net, NetAttribute, let_readers_run
 from linedeal.platform.descriptors import DescriptorBudget
 from linedeal.platform.owner_codec import Line, LineReader
+from linedeal.platform.recipients import Recipients
 from linedeal.platform.router import LineResult, Router, UnanswerableError
 
 NEW_CONNECTION_GRACE = 0.5  # seconds for which a new connection ranks last among those to be closed
@@ -38,7 +39,6 @@
         # When the first bytes were read, if that was done at the accept; None once they are handled.
         self.first_bytes_at: float | None = None
         self.has_sent_valid = False  # a message that the protocol allows
-        self.has_placed_job = False  # now or before: a host has accepted a job of this owner
         self.invalid_lines = 0
         self.partial_line_since = 0.0  # 0: no line is incomplete
         self.lines: deque[tuple[Line, float]] = deque()  # not handled yet, each with its time of arrival
@@ -58,6 +58,7 @@
     def __init__(
         self,
         router: Router,
+        recipients: Recipients,
         net: Net,
         inbox: Inbox,
         descriptors: DescriptorBudget,
@@ -66,10 +67,8 @@
         log,
     ):
         """`next_number`: returns the number of the next connection."""
-        self.router, self.net, self.inbox, self.descriptors, self.lateness, self.next_number, self.log = (
-            router,
-            net,
-            inbox,
+        self.router, self.recipients, self.net, self.inbox = router, recipients, net, inbox
+        self.descriptors, self.lateness, self.next_number, self.log = (
             descriptors,
             lateness,
             next_number,
@@ -87,30 +86,28 @@
             tasks.start_soon(self.close_idle_when_crowded)
             await self.net.serve(address, self.handle, capacity=self.descriptors, task_status=task_status)
 
-    def mark_placed(self, client: int) -> None:
-        """Notes that a host has accepted a job of this connection, and sends it the releases that wait."""
-        link = self.links.get(client)
-        if link is not None:
-            link.has_placed_job = True
-            while self.waiting:
-                self.enqueue(link, self.waiting.popleft(), True)
-
     def send(self, client: int, data: bytes, about_running: bool = False) -> None:
         """Sends `data` to a connection; does nothing if it has ended, unless `about_running`.
 
-        A message about a running job then goes to the newest connection that has placed a job, or waits for
-        one. Any other may be of a client that does not pass it on.
+        A message about a running job then waits for `send_waiting_releases`.
         """
         if not client or not data:
             return
         link = self.links.get(client)
-        if link is None and about_running:
-            link = next((link for link in reversed(self.links.values()) if link.has_placed_job), None)
         if link is not None:
             self.enqueue(link, data, about_running)
         elif about_running:
             self.waiting.append(data)
 
+    def send_waiting_releases(self) -> None:
+        """Sends the messages about running jobs whose connections have ended to the owner chosen for them."""
+        while self.waiting:
+            link = self.links.get(self.recipients.choose())
+            while link is not None and self.waiting and link.number in self.links:
+                self.enqueue(link, self.waiting.popleft(), True)
+            if link is None:
+                return
+
     def enqueue(self, owner: OwnerLink, data: bytes, about_running: bool = False) -> None:
         """Queues `data` on a connection; disconnects one that leaves too much unread."""
         owner.outbox.append((data, about_running))
@@ -124,6 +121,7 @@
         owner = OwnerLink(self.next_number(), Link(stream, LineReader()), anyio.current_time())
         owner.first_bytes_at = stream.extra(NetAttribute.received_at, None)
         self.links[owner.number] = owner
+        self.recipients.on_connected(owner.number)
         self.counts["connections"] += 1
         try:
             # The tasks end by the scope, without exception groups: there are hundreds of short connections.
@@ -147,6 +145,7 @@
         if owner.number not in self.links:
             return
         del self.links[owner.number]
+        self.recipients.on_disconnected(owner.number)
         self.closing += 1
         owner.reason = reason
         owner.scope.cancel()
@@ -193,11 +192,12 @@
     def close_rank(self, owner: OwnerLink) -> tuple:
         """The order in which idle connections are closed, lowest first.
 
-        First those without a valid message, then without a job that was ever placed, then with one, and
-        last new ones; among equals the one that has been silent for longest.
+        First those without a valid message, then those that are not known to be an owner's, then owners',
+        and last new ones; among equals the one that has been silent for longest.
         """
         new = not owner.has_sent_valid and anyio.current_time() - owner.opened_at <= NEW_CONNECTION_GRACE
-        return 3 if new else int(owner.has_sent_valid) + int(owner.has_placed_job), owner.received_at
+        known = int(owner.has_sent_valid) + int(self.recipients.is_owner(owner.number))
+        return 3 if new else known, owner.received_at
 
     async def close_if_idle(self, owner: OwnerLink, reason: str) -> bool:
         """Closes an idle connection; returns False if it has data in its socket, which is read first.
@@ -282,14 +282,16 @@
         while True:
             await anyio.sleep(CHECK_INTERVAL)
             now = anyio.current_time()
+            self.send_waiting_releases()
             for owner in list(self.links.values()):
                 owner.partial_line_since = (
                     (owner.partial_line_since or now) if owner.link.reader.buffer else 0.0
                 )
                 nothing_valid = not owner.has_sent_valid and now - owner.opened_at > FIRST_MESSAGE_TIMEOUT
-                silent = not owner.has_placed_job and now - owner.received_at > FIRST_MESSAGE_TIMEOUT
-                if (nothing_valid or silent) and self.is_idle(owner):
-                    # Also a client that cancels every job before it is placed and then stays connected.
+                silent = now - owner.received_at > FIRST_MESSAGE_TIMEOUT
+                useless = nothing_valid or silent and not self.recipients.is_owner(owner.number)
+                if useless and self.is_idle(owner):
+                    # Also a client that takes back all its jobs and then stays connected.
                     await self.close_if_idle(owner, "it sends nothing of use")
                 elif owner.partial_line_since and now - owner.partial_line_since > FIRST_MESSAGE_TIMEOUT:
                     self.disconnect(owner, "a line that does not end")
--- /dev/null
+++ b/linedeal/platform/recipients.py
@@ -0,0 +1,98 @@
+"""Which connection is told of the end of a job whose own connection has closed.
+
+A running job belongs to no connection, and the protocol does not say which connections belong to one owner.
+Clients of which nothing is known connect as well, and do not pass on what they are told of others' jobs. What
+a connection has done is the evidence:
+
+- A job that was placed on it and still runs, or has run to its end, shows an owner that waits for that end.
+  The evidence grows with the time for which the owner has let the job run.
+- A job that was placed on it and taken back shows nothing: a client may take back all that it requests.
+- A job that it has handed over shows little until the job's host confirms it, since the name of the job may
+  be made up.
+
+Free of I/O; times are seconds on the clock of the caller.
+"""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+# A job has to run for this long to be evidence. Leaves time within the second in which an end has to be told.
+MIN_KEPT_TIME = 0.6
+FULL_EVIDENCE_TIME = 3.0  # beyond it, the evidence does not grow
+HANDED_OVER_EVIDENCE = 0.0  # that of a job that was handed over, in the same seconds
+NO_EVIDENCE = -math.inf
+
+
+@dataclass(slots=True)
+class ConnectionHistory:
+    """What one connection has done."""
+
+    placed: dict[str, float] = field(default_factory=dict)  # when each running job was placed, oldest first
+    handed_over: set[str] = field(default_factory=set)  # running jobs that it has handed over
+    has_kept_job: bool = False  # a job has run until its host ended it
+
+    def evidence(self, now: float) -> float:
+        """The evidence that an owner is at the other end: seconds up to FULL_EVIDENCE_TIME."""
+        if self.has_kept_job:
+            return FULL_EVIDENCE_TIME
+        kept_for = now - next(iter(self.placed.values()), math.inf)
+        if kept_for >= MIN_KEPT_TIME:
+            return min(kept_for, FULL_EVIDENCE_TIME)
+        return HANDED_OVER_EVIDENCE if self.handed_over else NO_EVIDENCE
+
+
+class Recipients:
+    """The history of each open connection, and the choice of one to be told of the end of a job."""
+
+    def __init__(self, clock: Callable[[], float]):
+        """`clock`: returns the time in seconds."""
+        self.clock = clock
+        self.histories: dict[int, ConnectionHistory] = {}  # of open connections, the newest last
+
+    def on_connected(self, connection: int) -> None:
+        """Begins the history of a connection."""
+        self.histories[connection] = ConnectionHistory()
+
+    def on_disconnected(self, connection: int) -> None:
+        """Drops the history of a connection."""
+        self.histories.pop(connection, None)
+
+    def on_placed(self, connection: int, task: str) -> None:
+        """Notes that a host has accepted a job, and that its owner is told so."""
+        if connection in self.histories:
+            self.histories[connection].placed[task] = self.clock()
+
+    def on_handed_over(self, connection: int, task: str) -> None:
+        """Notes that a connection has handed over a job."""
+        if connection in self.histories:
+            self.histories[connection].handed_over.add(task)
+
+    def on_ended(self, connection: int, task: str, confirmed: bool) -> None:
+        """Notes that a job has ended without its owner's doing. `confirmed`: its host says so."""
+        history = self.histories.get(connection)
+        if history is not None and (history.placed.pop(task, None) is not None or confirmed):
+            history.has_kept_job = True
+        self.on_taken_back(connection, task)
+
+    def on_taken_back(self, connection: int, task: str) -> None:
+        """Notes that a job's owner has ended it."""
+        history = self.histories.get(connection)
+        if history is not None:
+            history.placed.pop(task, None)
+            history.handed_over.discard(task)
+
+    def is_owner(self, connection: int) -> bool:
+        """Whether a connection has a job that runs, or had one that ran until its host ended it."""
+        history = self.histories.get(connection)
+        return history is not None and bool(history.placed or history.handed_over or history.has_kept_job)
+
+    def choose(self) -> int:
+        """The connection with the most evidence, the newest of several; 0 if none has any."""
+        now = self.clock()
+        best, most = 0, NO_EVIDENCE
+        for connection, history in self.histories.items():
+            evidence = history.evidence(now)
+            if evidence >= most and evidence > NO_EVIDENCE:
+                best, most = connection, evidence
+        return best
--- a/linedeal/platform/router.py
+++ b/linedeal/platform/router.py
@@ -6,6 +6,7 @@
 from linedeal.engine import effects, events
 from linedeal.platform import host_codec, owner_codec
 from linedeal.platform.host_codec import Code
+from linedeal.platform.recipients import Recipients
 
 MIN_TIME_LEFT = 0.001  # seconds
 IGNORED_TYPES = frozenset(("progress", "released", "note", "move", "pong"))
@@ -41,9 +42,12 @@
 class Router:
     """Translates lines of owners to engine events, and engine effects to messages for owners."""
 
-    def __init__(self, settings: api.Settings):
-        """Starts without tasks; `ready` is reported in the reply to a ping."""
-        self.settings = settings
+    def __init__(self, settings: api.Settings, recipients: Recipients):
+        """Starts without tasks; `ready` is reported in the reply to a ping.
+
+        `recipients` is notified of the jobs of each connection.
+        """
+        self.settings, self.recipients = settings, recipients
         self.ready = False
         self.tasks: dict[str, Task] = {}
         self.by_job: dict[str, Task] = {}
@@ -134,6 +138,7 @@
             return LineResult(valid=None)  # it may have crossed a release from here
         if task.running:  # belongs to no connection, so any may end it
             task.ended_by_owner = True
+            self.recipients.on_taken_back(task.client, task.id)
             return LineResult(events.StopRequested(task.job))
         if task.client != client:
             raise UnanswerableError("it cancels a job of another connection")
@@ -175,6 +180,11 @@
             task.job = effect.job
             self.by_job[effect.job] = task
 
+    def on_adopted(self, effect: effects.Adopt) -> None:
+        """Notes the engine's id of a job that was handed over."""
+        self.on_accepted(effect)
+        self.recipients.on_handed_over(effect.client, effect.key)
+
     def on_declined(self, effect: effects.DeclineJob) -> tuple[int, bytes]:
         """Refuses a job that the engine did not accept."""
         task = self.tasks.get(effect.key)
@@ -191,6 +201,7 @@
         if effect.verdict is effects.Verdict.PLACED:
             task.running = True
             self.mark_answered(task)
+            self.recipients.on_placed(task.client, task.id)
             return task.client, owner_codec.encode_answer(task.id, effect.host_reply)
         self.remove(task)
         cause = owner_codec.REFUSED if effect.verdict is effects.Verdict.REJECTED else owner_codec.FAILED
@@ -203,7 +214,9 @@
             return 0, b""
         self.remove(task)
         if task.ended_by_owner or effect.result is api.Result.STOPPED:
+            self.recipients.on_taken_back(task.client, task.id)
             return 0, b""
+        self.recipients.on_ended(task.client, task.id, confirmed=effect.result is api.Result.DONE)
         return task.client, owner_codec.encode_release(
             task.id, owner_codec.NORMAL if effect.result is api.Result.DONE else owner_codec.LOST
         )
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -18,6 +18,7 @@
 from linedeal.platform.hostlink import INCARNATION, HostLink
 from linedeal.platform.ownerlink import OwnerServer
 from linedeal.platform.reachability import CheckPacer
+from linedeal.platform.recipients import Recipients
 from linedeal.platform.router import Router
 
 ACCEPT_AFTER_SIGTERM = 0.8  # seconds for which jobs are still accepted
@@ -53,12 +54,20 @@
         )
         self.inbox = Inbox(self.engine.put)
         self.stepper = EngineStepper(self.engine, self.inbox, setup.cluster.limits.tick)
-        self.router = Router(setup.cluster.settings)
+        recipients = Recipients(anyio.current_time)
+        self.router = Router(setup.cluster.settings, recipients)
         self.descriptors = DescriptorBudget(setup.sockets)
         self.check_pacer = CheckPacer()
         self.lateness = Lateness()
         self.owners = OwnerServer(
-            self.router, self.net, self.inbox, self.descriptors, self.lateness, self.next_number, self.log
+            self.router,
+            recipients,
+            self.net,
+            self.inbox,
+            self.descriptors,
+            self.lateness,
+            self.next_number,
+            self.log,
         )
         self.feed = Feed()
         self.bus = BusPoller(setup.bus, self.feed, self.net, self.inbox, Random(setup.seed + 2), self.log)
@@ -117,6 +126,7 @@
         """Runs one engine step and carries out its effects."""
         for effect in self.stepper.step():
             self.carry_out(effect)
+        self.owners.send_waiting_releases()
         self.router.ready = self.engine.ready
 
     async def run_steps(self) -> None:
@@ -176,8 +186,6 @@
             elif kind is effects.SendStop:
                 self.inbox.put(events.LaunchesCancelled(effect.host, (effect.launch.number,)))
         if kind in OWNER_HANDLERS:
-            if kind is effects.Adopt or kind is effects.Answer and effect.verdict is effects.Verdict.PLACED:
-                self.owners.mark_placed(effect.client)
             message = OWNER_HANDLERS[kind](self.router, effect)
             if message is not None:
                 self.owners.send(*message, about_running=kind is effects.NotifyEnded)
@@ -271,7 +279,7 @@
 }
 OWNER_HANDLERS = {
     effects.AcceptJob: Router.on_accepted,
-    effects.Adopt: Router.on_accepted,
+    effects.Adopt: Router.on_adopted,
     effects.DeclineJob: Router.on_declined,
     effects.Answer: Router.on_answer,
     effects.NotifyEnded: Router.on_ended,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -187,6 +187,47 @@
         assert [reply[1] for reply in bad.received] == [C]
 
 
+async def test_end_of_a_job_does_not_go_to_a_client_that_took_its_jobs_back(tmp_path, log):
+    # Guards against counting jobs that were placed and taken back: a client without any job was told of the
+    # end of another's, and the owner never was.
+    async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
+        first, second, host = await g.client(), await g.client(), g.hosts["h1"]
+        await first.setup(A)
+        await first.wait_for("answer", A)
+        await first.stream.aclose()
+        await second.setup(B)
+        await second.wait_for("answer", B)
+        bad = await g.client()  # connects last, and stays
+        taken_back = [f"{number:016x}" for number in range(40)]
+        for task in taken_back:
+            await bad.setup(task)
+        for task in taken_back:
+            await bad.wait_for("answer", task)
+        for task in taken_back:
+            await bad.send("release", task, cause=16)
+        await g.wait_until(2, lambda: len(g.service.router.tasks) == 2)
+        await host.streams[0].send(release(bytes.fromhex(A), 16))
+        assert (await second.wait_for("release", A))[2] == 16
+        assert {line[:2] for line in bad.received} == {("answer", task) for task in taken_back}
+
+
+async def test_end_of_a_job_does_not_go_to_a_client_that_makes_up_jobs(tmp_path, log):
+    # Guards against counting jobs that were handed over on hosts that do not exist.
+    async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
+        first, second, host = await g.client(), await g.client(), g.hosts["h1"]
+        await first.setup(A)
+        await first.wait_for("answer", A)
+        await first.stream.aclose()
+        bad = await g.client()
+        await bad.setup(C, at="nowhere")
+        await bad.wait_for("release", C)
+        await host.streams[0].send(release(bytes.fromhex(A), 16))
+        await g.wait_until(2, lambda: g.service.owners.waiting)
+        await second.setup(B)
+        assert (await second.wait_for("release", A))[2] == 16
+        assert [line[1] for line in bad.received] == [C]
+
+
 async def test_job_cancelled_by_its_owner_is_cancelled_at_the_host(tmp_path, log):
     async with platform_cluster(tmp_path, log, {"h1": Host(ignores(Type.SETUP))}) as g:
         owner, host = await g.client(), g.hosts["h1"]
