Read no further ahead of an accepted connection than its reader asks

Operators saw memory grow without end while one client sent at full speed.

Cause: anyio's SocketStream.from_socket leaves asyncio's transport reading. Until the first `receive` that has to wait, the event loop collects whatever the peer sends (StreamProtocol.read_queue). By malloc statistics in the running process 127 MB were in use at a peak, all but 20 MB allocated by uvloop as received chunks; objects of the program stayed under 25 MB, so services, timers and garbage were ruled out. A service kept by name is bounded at 4,096 already (policy.py).

Change: handle_accepted pauses the transport; `receive` resumes it while it waits.

--- a/linedeal/net/tcp.py
+++ b/linedeal/net/tcp.py
@@ -29,6 +29,18 @@
         pass  # the connection has ended already; its first read reports that
 
 
+def pause_reading(stream: anyio.abc.SocketStream) -> None:
+    """Stops the event loop from reading ahead of `stream.receive`, which resumes it while it waits.
+
+    On asyncio, anyio leaves the transport of an accepted connection reading: until the first `receive` that
+    has to wait, it collects without a bound what the peer sends. There is no public way to the transport;
+    trio's streams have none and read only in `receive`.
+    """
+    transport = getattr(stream, "_transport", None)
+    if transport is not None:
+        transport.pause_reading()
+
+
 class AcceptedStream(anyio.abc.ByteStream):
     """A connection whose first bytes were read when it was accepted, at loop time `received_at`."""
 
@@ -144,6 +156,7 @@
             # That must not end the listener and all connections that it has accepted.
             sock.close()
         else:
+            pause_reading(stream)
             await handle(AcceptedStream(stream, first, received_at) if first else stream)
     finally:
         if capacity is not None:
