Bound the bytes that one iteration of the loop takes of a connection

Operators saw a process pass its memory limit with many clients at once.

Cause: uvloop empties a socket in one iteration, up to 32 reads of 256 KB, and the system enlarges the receive buffer of a fast connection to 6 MB. So each connection could put megabytes into the process before its reader ran once.

Change: SO_RCVBUF of 32 KiB on listeners, which accepted connections inherit, and on connections to hosts and the bus.

--- a/linedeal/net/tcp.py
+++ b/linedeal/net/tcp.py
@@ -11,6 +11,10 @@
 
 ACCEPT_RETRY_DELAY = 0.05  # seconds to wait after a connection that could not be accepted
 READ_SIZE = 65536  # bytes of one read
+# The system's buffer of received bytes for one connection; Linux doubles the figure for its own bookkeeping.
+# The event loop moves all that is there into the process in one iteration, whether or not anyone reads it, so
+# this bounds the memory that a peer can fill.
+RECEIVE_BUFFER_BYTES = 32768
 # Detects a peer that has vanished without closing (power or network lost); its connection would otherwise
 # stay open, and be counted, forever. Seconds of silence before the first probe, seconds between probes,
 # number of unanswered probes, and milliseconds that sent data may stay unacknowledged. The system of a slow
@@ -29,6 +33,14 @@
         pass  # the connection has ended already; its first read reports that
 
 
+def limit_receive_buffer(raw: socket.socket) -> None:
+    """Bounds what the system keeps of a peer's bytes. A listener passes the bound on to what it accepts."""
+    try:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    except OSError:
+        pass  # the connection has ended already; its first read reports that
+
+
 def pause_reading(stream: anyio.abc.SocketStream) -> None:
     """Stops the event loop from reading ahead of `stream.receive`, which resumes it while it waits.
 
@@ -81,7 +93,9 @@
         """Opens a connection to `address`. Raises OSError."""
         stream = await anyio.connect_tcp(*address, happy_eyeballs_delay=0.1)
         try:
-            enable_keepalive(stream.extra(SocketAttribute.raw_socket))
+            raw = stream.extra(SocketAttribute.raw_socket)
+            enable_keepalive(raw)
+            limit_receive_buffer(raw)
         except AttributeError:
             # The connection was reset after it was established. With uvloop it no longer has a socket, and
             # anyio raises AttributeError when it reads the socket's addresses. That must not end the process;
@@ -110,6 +124,7 @@
         async with listener, anyio.create_task_group() as tasks:
             task_status.started((address[0], listener.extra(SocketAttribute.local_port)))
             raw = listener.extra(SocketAttribute.raw_socket)
+            limit_receive_buffer(raw)
             while True:
                 try:
                     await anyio.wait_readable(raw)
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -6,13 +6,13 @@
 import pytest
 
 from linedeal.net import TcpNet
-from linedeal.net.tcp import READ_SIZE
+from linedeal.net.tcp import RECEIVE_BUFFER_BYTES
 
 pytestmark = pytest.mark.anyio
 SEND_BUFFER_BYTES = 32768  # of the peer in these tests
 # The receiver's buffer, which the system doubles, as much that the process has taken, twice as much to spare,
 # and the sender's own.
-BOUND = 4 * READ_SIZE + 4 * SEND_BUFFER_BYTES
+BOUND = 8 * RECEIVE_BUFFER_BYTES + 4 * SEND_BUFFER_BYTES
 
 
 @pytest.fixture
@@ -54,7 +54,7 @@
     await anyio.sleep_forever()
 
 
-@pytest.mark.parametrize("begins_with", [1])
+@pytest.mark.parametrize("begins_with", [1, READ_FIRST_BYTES])
 async def test_client_that_is_not_read_fills_a_bounded_buffer(begins_with):
     # Guards against clients that fill the memory: until a reader had caught up with its client for the first
     # time, the event loop collected whatever the client sent; later, megabytes in one iteration.
@@ -67,3 +67,17 @@
             written = await count_accepted_bytes(sock)
         tasks.cancel_scope.cancel()
     assert written <= begins_with + BOUND, f"{written - begins_with} bytes, at most {BOUND}"
+
+
+async def test_host_that_is_not_read_fills_a_bounded_buffer():
+    # As above, at the other end of a connection.
+    async with anyio.create_task_group() as tasks:
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            stream = await TcpNet().connect(server.getsockname())
+            sock, _ = server.accept()
+        limit_send_buffer(sock)
+        tasks.start_soon(read_then_sleep, stream, READ_FIRST_BYTES)
+        with sock:
+            written = await count_accepted_bytes(sock)
+        tasks.cancel_scope.cancel()
+    assert written <= READ_FIRST_BYTES + BOUND, f"{written - READ_FIRST_BYTES} bytes, at most {BOUND}"
