Bound in bytes what owners' lines and unanswered set-ups hold, and drop unused fields

Operators saw a process pass its memory limit while many clients sent heads of very many short fields.

Cause: OwnerServer.read kept up to 512 decoded lines a connection whatever they weigh; a line of 15 KB with 1,500 fields is thousands of objects. Set-ups without an answer were bounded by their number alone (20,000).

Change: fields that no controller uses are dropped as a line is read. platform/line_queue.py and request_budget.py count waiting lines and unanswered set-ups: a sixth of the memory limit for all, a quarter of that for one connection, the last eighth for those that hold little. Beyond it a set-up is refused as it is read, so that reading goes on; lines about running jobs wait. A set-up taken back while it waits leaves the queue.

--- a/linedeal/engine/admission.py
+++ b/linedeal/engine/admission.py
@@ -1,5 +1,7 @@
 """Divides a bounded resource fairly among customers when it is nearly used up. No I/O, no clock."""
 
+from collections.abc import Hashable
+
 # one part in RESERVE of the limit is left to customers that hold less than an even share
 RESERVE = 8
 
@@ -11,9 +13,9 @@
 
     def __init__(self):
         """Starts with nothing held."""
-        self.of: dict[str, int] = {}  # only customers that hold something
+        self.of: dict[Hashable, int] = {}  # only customers that hold something
 
-    def add(self, customer: str, amount: int) -> None:
+    def add(self, customer: Hashable, amount: int) -> None:
         """Adds to what the customer holds; a negative `amount` gives back."""
         now = self.of.get(customer, 0) + amount
         if now:
@@ -21,7 +23,7 @@
         else:
             del self.of[customer]
 
-    def admits(self, customer: str, held: int, limit: int) -> bool:
+    def admits(self, customer: Hashable, held: int, limit: int) -> bool:
         """Whether this customer may have more, where all customers together hold `held` of at most `limit`.
 
         Protects the others against one customer that uses up the whole limit. An even share is computed as if
--- a/linedeal/platform/config.py
+++ b/linedeal/platform/config.py
@@ -14,6 +14,7 @@
 PROBE_TIMEOUT = 1.0  # seconds after which a probe counts as unanswered
 CONNECT_SLACK = 0.05  # seconds that are added to the connect timeout of the settings
 MAX_TIMEOUT = 3600.0  # seconds
+MAX_MEMORY_MB = 1 << 20
 MAX_FILE_BYTES = 16 << 20
 
 
@@ -45,6 +46,7 @@
 class Config:
     """The checked configuration of one controller.
 
+    `memory_bytes`: the process's limit; 0 if the file has none.
     `idle_timeout`: seconds after which hosts close an unused connection.
     `report_names`: the module's names for the figures of a host's report.
     """
@@ -54,6 +56,7 @@
     bus: Address
     seed: int
     sockets: int
+    memory_bytes: int
     known: bus.Batch
     cluster: Cluster
     idle_timeout: float
@@ -89,6 +92,8 @@
         raise ConfigError(f"{path}: {field}: {error}") from None
     if file.limits.sockets < 64:
         raise ConfigError(f"{path}: limits.sockets is {file.limits.sockets}, at least 64 are needed")
+    if not 0 <= file.limits.memory_mb <= MAX_MEMORY_MB:
+        raise ConfigError(f"{path}: limits.memory_mb is {file.limits.memory_mb:g}, out of range")
     try:
         settings = read_settings(file.settings)
         permissions = file.settings.get("permissions") or {}
@@ -109,6 +114,7 @@
         address,
         seed,
         file.limits.sockets,
+        int(file.limits.memory_mb * (1 << 20)),
         file.known,
         Cluster(settings, limits, Rules(), JournalSettings()),
         idle_timeout,
--- a/linedeal/platform/owner_codec.py
+++ b/linedeal/platform/owner_codec.py
@@ -1,6 +1,7 @@
 """The codec of the JSON lines between owners and controllers. Free of I/O: bytes in, messages out."""
 
 import re
+import sys
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -14,6 +15,8 @@
 MAX_RESOURCES = 1e6  # cores, or memory, that one job may request; no machine has as much
 ID = re.compile(r"[0-9a-f]{16}")
 FIGURE = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+SETUP_FIELDS = ("class", "left", "tenant", "key", "idem", "extras")  # those of which a set-up makes use
+LINE_MEMORY_BYTES = 3072  # of the objects that hold one line, or the job that it requests, beside its texts
 NAME = re.compile(rf"[!-~]{{1,{MAX_NAME_LENGTH}}}")
 
 # The causes of a release. From a host, NORMAL means that the job has ended on its own; from a controller or
@@ -115,6 +118,29 @@
     return Line(str(value.get("type")), value["id"])
 
 
+def drop_unused(line: Line) -> None:
+    """Drops what a controller makes no use of: a line may have a thousand fields, each an object."""
+    if line.type == "setup":
+        line.fields = {name: line.fields[name] for name in SETUP_FIELDS if name in line.fields}
+    else:
+        line.fields, line.sdp = {}, None
+
+
+def memory_bytes(line: Line) -> int:
+    """The memory that a line takes up while it waits, and its job after it."""
+    return LINE_MEMORY_BYTES + sys.getsizeof(line.sdp) + sum(map(sys.getsizeof, line.fields.values()))
+
+
+def names_host(line: Line) -> bool:
+    """Whether a set-up names the host that runs its job already."""
+    return "at:" in str(line.fields.get("extras", ""))
+
+
+def is_job_request(line: Line) -> bool:
+    """Whether a line is a set-up for a job to be placed, as far as can be told without checking it."""
+    return line.type == "setup" and not line.fault and not names_host(line)
+
+
 def parse_request(line: Line, settings: api.Settings) -> JobRequest:
     """Checks a set-up against the settings. Raises InvalidRequestError."""
     fields = line.fields
--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -8,14 +8,14 @@
 from linedeal.loop import Inbox, Lateness
 from linedeal.net import Address, Link, LinkLostError, Net, NetAttribute, let_readers_run
 from linedeal.platform.descriptors import DescriptorBudget
-from linedeal.platform.owner_codec import Line, LineReader
+from linedeal.platform.line_queue import LineQueue
+from linedeal.platform.owner_codec import Line, LineReader, drop_unused, is_job_request
 from linedeal.platform.recipients import Recipients
+from linedeal.platform.request_budget import RequestBudget
 from linedeal.platform.router import LineResult, Router, UnanswerableError
 
 NEW_CONNECTION_GRACE = 0.5  # seconds for which a new connection ranks last among those to be closed
 FIRST_MESSAGE_TIMEOUT = 2.0  # seconds for a valid message on a new connection, and for a started line to end
-# Lines that are read ahead of those handled, so that a disconnect or cancellation behind them is seen early.
-MAX_LINES_AHEAD = 512
 MAX_UNREAD_BYTES = 262144  # that an owner may leave unread
 SEND_TIMEOUT = 5.0  # seconds for an owner to read what is written
 MAX_INVALID_LINES = 20  # on one connection
@@ -33,15 +33,15 @@
 class OwnerLink:
     """The state of one owner's connection."""
 
-    def __init__(self, number: int, link: Link, now: float):
+    def __init__(self, number: int, link: Link, lines: LineQueue, now: float):
         """`number`: identifies the connection in the engine and the router."""
         self.number, self.link, self.opened_at, self.received_at = number, link, now, now
+        self.lines = lines
         # When the first bytes were read, if that was done at the accept; None once they are handled.
         self.first_bytes_at: float | None = None
         self.has_sent_valid = False  # a message that the protocol allows
         self.invalid_lines = 0
         self.partial_line_since = 0.0  # 0: no line is incomplete
-        self.lines: deque[tuple[Line, float]] = deque()  # not handled yet, each with its time of arrival
         self.lines_arrived = anyio.Event()
         self.line_handled = anyio.Event()
         self.outbox: list[tuple[bytes, bool]] = []  # bytes to write, and whether they are about a running job
@@ -59,6 +59,7 @@
         self,
         router: Router,
         recipients: Recipients,
+        budget: RequestBudget,
         net: Net,
         inbox: Inbox,
         descriptors: DescriptorBudget,
@@ -67,7 +68,8 @@
         log,
     ):
         """`next_number`: returns the number of the next connection."""
-        self.router, self.recipients, self.net, self.inbox = router, recipients, net, inbox
+        self.router, self.recipients, self.budget = router, recipients, budget
+        self.net, self.inbox = net, inbox
         self.descriptors, self.lateness, self.next_number, self.log = (
             descriptors,
             lateness,
@@ -77,7 +79,7 @@
         self.links: dict[int, OwnerLink] = {}
         self.closing = 0  # connections that are disconnected but whose sockets are not closed yet
         self.waiting: deque[bytes] = deque(maxlen=MAX_WAITING_RELEASES)
-        self.counts = {"connections": 0, "shed": 0, "refused as read": 0, "closed on": 0}
+        self.counts = {"connections": 0, "shed": 0, "refused as read": 0, "no room": 0, "closed on": 0}
 
     async def run(self, address: Address, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Serves until cancelled; reports the address that it listens on. Raises OSError if it cannot."""
@@ -118,7 +120,9 @@
 
     async def handle(self, stream) -> None:
         """Serves one connection until it ends."""
-        owner = OwnerLink(self.next_number(), Link(stream, LineReader()), anyio.current_time())
+        number = self.next_number()
+        lines = LineQueue(number, self.budget)
+        owner = OwnerLink(number, Link(stream, LineReader()), lines, anyio.current_time())
         owner.first_bytes_at = stream.extra(NetAttribute.received_at, None)
         self.links[owner.number] = owner
         self.recipients.on_connected(owner.number)
@@ -149,10 +153,10 @@
         self.closing += 1
         owner.reason = reason
         owner.scope.cancel()
-        for line, arrived_at in owner.lines:
-            if self.router.outlives_connection(line):
+        for queued in owner.lines.drain():
+            if self.router.outlives_connection(queued.line):
                 try:
-                    self.handle_line(owner, line, arrived_at)
+                    self.handle_line(owner, queued.line, queued.arrived_at)
                 except LinkLostError:
                     pass  # it ends in any case
         self.inbox.put(self.router.disconnect(owner.number))
@@ -226,20 +230,52 @@
                 arrived_at, owner.first_bytes_at = owner.first_bytes_at - late * ACCEPT_ITERATIONS, None
             else:
                 arrived_at = owner.received_at - late * (NEW_CONNECTION_ITERATIONS if new else 1)
-            for line in lines:
-                if (
-                    line.type == "release"
-                    and line.id in self.router.tasks
-                    and not line.fault
-                    and not any(ahead.id == line.id for ahead, _ in owner.lines)
-                ):
-                    self.handle_line(owner, line, arrived_at)  # a cancellation overtakes the lines before it
-                else:
-                    owner.lines.append((line, arrived_at))
+            lines = deque(lines)
+            while lines:  # emptied, so that nothing is held while this task waits
+                await self.receive_line(owner, lines.popleft(), arrived_at)
             owner.lines_arrived.set()
-            while len(owner.lines) > MAX_LINES_AHEAD:
-                owner.line_handled = anyio.Event()
-                await owner.line_handled.wait()
+
+    async def receive_line(self, owner: OwnerLink, line: Line, arrived_at: float) -> None:
+        """Queues a line, or handles it at once. Raises LinkLostError.
+
+        Never waits for room but with lines about running jobs, which count whatever follows them: a
+        cancellation or a close may be behind any other. A set-up for which there is no room is refused.
+        """
+        drop_unused(line)
+        if line.type == "release" and not line.fault:
+            if owner.lines.requests_job(line.id):
+                owner.lines.remove_job_requests(line.id)
+                return
+            if line.id in self.router.tasks:
+                self.handle_line(owner, line, arrived_at)  # a cancellation overtakes the lines before it
+                return
+        if owner.lines.has_room(line):
+            owner.lines.append(line, arrived_at)
+        elif self.router.outlives_connection(line):
+            await self.wait_for_room(owner, line)
+            owner.lines.append(line, arrived_at)
+        elif is_job_request(line):
+            self.refuse_unread(owner, line)
+        elif self.handle_line(owner, line, arrived_at).valid is False:
+            self.count_invalid(owner)
+
+    async def wait_for_room(self, owner: OwnerLink, line: Line) -> None:
+        """Waits until there is room for a line, or it would be the only one of its connection."""
+        owner.lines_arrived.set()
+        while owner.lines and not owner.lines.has_room(line):
+            owner.line_handled = anyio.Event()
+            await owner.line_handled.wait()
+
+    def refuse_unread(self, owner: OwnerLink, line: Line) -> None:
+        """Refuses a set-up for which there is no room. Raises LinkLostError if its id is in use."""
+        self.counts["no room"] += 1
+        try:
+            if owner.lines.requests_job(line.id):
+                raise UnanswerableError("two set-ups under one id")
+            self.enqueue(owner, self.router.refuse_unread(line))
+        except UnanswerableError as error:
+            self.counts["closed on"] += 1
+            raise LinkLostError(str(error)) from None
 
     def handle_line(self, owner: OwnerLink, line: Line, arrived_at: float) -> LineResult:
         """Handles one line: queues the reply and puts the event. Raises LinkLostError."""
@@ -262,12 +298,16 @@
             owner.lines_arrived = anyio.Event()
             while owner.lines:
                 await self.inbox.wait_for_space()
-                if self.handle_line(owner, *owner.lines.popleft()).valid is False:
-                    await self.count_invalid(owner)
+                if not owner.lines:
+                    break  # taken back meanwhile
+                queued = owner.lines.popleft()
+                if self.handle_line(owner, queued.line, queued.arrived_at).valid is False:
+                    self.count_invalid(owner)
+                    await anyio.sleep(INVALID_LINE_PAUSE)
                 owner.line_handled.set()
 
-    async def count_invalid(self, owner: OwnerLink) -> None:
-        """Pauses a connection after an invalid line; raises LinkLostError after too many of them.
+    def count_invalid(self, owner: OwnerLink) -> None:
+        """Counts an invalid line; raises LinkLostError after too many of them.
 
         Guards against floods of invalid lines, at the cost of their own connection only.
         """
@@ -275,7 +315,6 @@
         self.counts["refused as read"] += 1
         if owner.invalid_lines > MAX_INVALID_LINES:
             raise LinkLostError(f"{owner.invalid_lines} invalid messages")
-        await anyio.sleep(INVALID_LINE_PAUSE)
 
     async def check_timeouts(self) -> None:
         """Closes connections that send nothing useful, or begin a line that does not end."""
@@ -322,7 +361,7 @@
 
     def has_unhandled_lines(self) -> bool:
         """Whether lines that were read are not handled yet."""
-        return any(owner.lines for owner in self.links.values())
+        return any(len(owner.lines) for owner in self.links.values())
 
     def has_unserved(self) -> bool:
         """Whether a connection has been accepted that is not served yet."""
--- a/linedeal/platform/router.py
+++ b/linedeal/platform/router.py
@@ -7,6 +7,7 @@
 from linedeal.platform import host_codec, owner_codec
 from linedeal.platform.host_codec import Code
 from linedeal.platform.recipients import Recipients
+from linedeal.platform.request_budget import RequestBudget
 
 MIN_TIME_LEFT = 0.001  # seconds
 IGNORED_TYPES = frozenset(("progress", "released", "note", "move", "pong"))
@@ -23,6 +24,7 @@
     id: str
     client: int  # number of the connection on which its set-up arrived
     job: str = ""  # the engine's id of it
+    size: int = 0  # bytes that its set-up is counted with until it is answered
     running: bool = False  # at a host, with its answer given
     ended_by_owner: bool = False  # its owner gets no release
 
@@ -42,12 +44,13 @@
 class Router:
     """Translates lines of owners to engine events, and engine effects to messages for owners."""
 
-    def __init__(self, settings: api.Settings, recipients: Recipients):
+    def __init__(self, settings: api.Settings, recipients: Recipients, budget: RequestBudget):
         """Starts without tasks; `ready` is reported in the reply to a ping.
 
-        `recipients` is notified of the jobs of each connection.
+        `recipients` is notified of the jobs of each connection; `budget` counts the set-ups without an
+        answer.
         """
-        self.settings, self.recipients = settings, recipients
+        self.settings, self.recipients, self.budget = settings, recipients, budget
         self.ready = False
         self.tasks: dict[str, Task] = {}
         self.by_job: dict[str, Task] = {}
@@ -84,6 +87,12 @@
             raise UnanswerableError("a message that cannot be read has the id of a known task")
         return LineResult(reply=owner_codec.encode_release(task, owner_codec.REFUSED), valid=False)
 
+    def refuse_unread(self, line: owner_codec.Line) -> bytes:
+        """The reply to a set-up for which there is no room. Raises UnanswerableError if its id is in use."""
+        if line.id in self.tasks:
+            raise UnanswerableError("a second set-up under the id of a known task")
+        return owner_codec.encode_release(line.id, owner_codec.REFUSED)
+
     def handle_setup(self, client: int, line: owner_codec.Line, waited: float) -> LineResult:
         """Handles a job to be placed, or one that a host runs already. Raises UnanswerableError."""
         known = self.tasks.get(line.id)
@@ -115,6 +124,8 @@
                     work,
                 )
             )
+        task.size = owner_codec.memory_bytes(line)
+        self.budget.add(client, task.size)
         self.unanswered.setdefault(client, set()).add(task.id)
         return LineResult(
             events.Submitted(
@@ -148,7 +159,7 @@
     def outlives_connection(self, line: owner_codec.Line) -> bool:
         """Whether a line counts although its connection has ended: lines about running jobs do."""
         if line.type == "setup":
-            return "at:" in str(line.fields.get("extras", ""))
+            return owner_codec.names_host(line)
         return line.type == "release" and line.id in self.tasks and self.tasks[line.id].running
 
     def disconnect(self, client: int) -> events.ClientDisconnected:
@@ -165,9 +176,10 @@
 
     def mark_answered(self, task: Task) -> None:
         """Counts a task as answered on its connection."""
-        ids = self.unanswered.get(task.client)
-        if ids is not None:
-            ids.discard(task.id)
+        ids = self.unanswered.get(task.client, set())
+        if task.id in ids:
+            self.budget.add(task.client, -task.size)
+            ids.remove(task.id)
             if not ids:
                 del self.unanswered[task.client]
 
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -19,6 +19,7 @@
 from linedeal.platform.ownerlink import OwnerServer
 from linedeal.platform.reachability import CheckPacer
 from linedeal.platform.recipients import Recipients
+from linedeal.platform.request_budget import RequestBudget
 from linedeal.platform.router import Router
 
 ACCEPT_AFTER_SIGTERM = 0.8  # seconds for which jobs are still accepted
@@ -55,13 +56,15 @@
         self.inbox = Inbox(self.engine.put)
         self.stepper = EngineStepper(self.engine, self.inbox, setup.cluster.limits.tick)
         recipients = Recipients(anyio.current_time)
-        self.router = Router(setup.cluster.settings, recipients)
+        budget = RequestBudget(setup.memory_bytes)
+        self.router = Router(setup.cluster.settings, recipients, budget)
         self.descriptors = DescriptorBudget(setup.sockets)
         self.check_pacer = CheckPacer()
         self.lateness = Lateness()
         self.owners = OwnerServer(
             self.router,
             recipients,
+            budget,
             self.net,
             self.inbox,
             self.descriptors,
--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -56,14 +56,14 @@
 SDP = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\n"
 
 
-def config_file(bus, known, sockets=256, setup=SETUP):
+def config_file(bus, known, sockets=256, setup=SETUP, memory_mb=64):
     return {
         "name": "n1",
         "listen": "127.0.0.1:0",
         "seed": "8c1f30d27a5be964",
         "bus": bus,
         "known": known,
-        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": sockets},
+        "limits": {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets},
         "settings": setup,
     }
 
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -59,11 +59,14 @@
     def __init__(self, tasks, folder):
         self.tasks, self.folder, self.all = tasks, folder, []
 
-    async def start(self, name, bus, known, setup=SETUP, sockets=256, max_files=None, cores=None):
+    async def start(
+        self, name, bus, known, setup=SETUP, sockets=256, memory_mb=64, max_files=None, cores=None
+    ):
         path = self.folder / f"{name}.{len(self.all)}.json"
         path.write_text(
             json.dumps(
-                config_file(bus, known, sockets, setup) | {"name": name, "seed": f"{len(self.all) + 1:x}"}
+                config_file(bus, known, sockets, setup, memory_mb)
+                | {"name": name, "seed": f"{len(self.all) + 1:x}"}
             )
         )
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -1,14 +1,27 @@
 """What clients and hosts can make a controller hold: bytes received, lines, set-ups, answers."""
 
+import json
 import socket
+import tracemalloc
+from pathlib import Path
 
 import anyio
 import pytest
 
 from linedeal.net import TcpNet
 from linedeal.net.tcp import RECEIVE_BUFFER_BYTES
+from linedeal.platform.host_codec import Type
+from linedeal.platform.line_queue import LineQueue
+from linedeal.platform.log import Log
+from linedeal.platform.owner_codec import LINE_MEMORY_BYTES, Line, memory_bytes
+from linedeal.platform.request_budget import CONNECTION_SHARE, MEMORY_SHARE, RequestBudget
+from tests.platform_fixture import SDP, Bus, Host, OwnerClient, platform_cluster
+from tests.platform_processes import Processes
+from tests.test_terms import bus_entry
 
 pytestmark = pytest.mark.anyio
+MEMORY_MB = 192  # the limit of the deployments
+PEAK_MB = MEMORY_MB / 2  # that a process may reach, whatever its clients do
 SEND_BUFFER_BYTES = 32768  # of the peer in these tests
 # The receiver's buffer, which the system doubles, as much that the process has taken, twice as much to spare,
 # and the sender's own.
@@ -81,3 +94,143 @@
             written = await count_accepted_bytes(sock)
         tasks.cancel_scope.cancel()
     assert written <= READ_FIRST_BYTES + BOUND, f"{written - READ_FIRST_BYTES} bytes, at most {BOUND}"
+
+
+@pytest.fixture
+def log():
+    return Log()
+
+
+def setup_line(task, fields=(), sdp=SDP):
+    known = {"class": "web", "left": "6000", "tenant": "acme", "extras": "cores:0.1;memory:0.1;service:s"}
+    line = {"type": "setup", "id": task, "fields": known | dict(fields), "sdp": sdp}
+    return json.dumps(line, separators=(",", ":")).encode() + b"\n"
+
+
+def release_line(task):
+    return json.dumps({"type": "release", "id": task, "cause": 16}).encode() + b"\n"
+
+
+def peak_mb(pid):
+    """The most memory that a process has had resident, in MB."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(status.partition("VmHWM:")[2].split()[0]) / 1024
+
+
+def test_budget_leaves_room_for_the_connections_that_use_least():
+    budget = RequestBudget(MEMORY_SHARE * 8000)
+    share = 8000 // CONNECTION_SHARE
+    assert budget.admits(1, share) and not budget.admits(1, share + 1)
+    for connection in (1, 2, 3):
+        budget.add(connection, share)
+    assert not budget.admits(1, 1)
+    budget.add(4, 1700)
+    assert not budget.admits(4, 100) and budget.admits(5, 100) and not budget.admits(5, 301)
+    for connection, size in ((1, share), (2, share), (3, share), (4, 1700)):
+        budget.add(connection, -size)
+    assert budget.used == 0 and not budget.shares.of
+
+
+def test_queue_counts_each_line_until_it_leaves():
+    budget = RequestBudget(0)
+    queue, size = LineQueue(1, budget), memory_bytes(Line("setup", "a", sdp="d"))
+    for task in ("a", "b", "a", "c"):
+        queue.append(Line("setup", task, sdp="d"), 1.0)
+    assert budget.used == 4 * size > 4 * LINE_MEMORY_BYTES
+    queue.remove_job_requests("a")
+    queue.remove_job_requests("x")
+    assert len(queue) == 2 and budget.used == 2 * size and not queue.requests_job("a")
+    assert queue.popleft().line.id == "b" and not queue.requests_job("b") and queue.requests_job("c")
+    assert [queued.line.id for queued in queue.drain()] == ["c"] and budget.used == 0
+
+
+async def test_memory_is_bounded_whatever_fields_the_lines_of_many_clients_have(tmp_path):
+    # Guards against keeping all that a line names: lines of a thousand short fields, of a hundred clients at
+    # once, took the process over its limit.
+    clients, lines = 100, 60
+    fields = [(f"{number:x}", "1") for number in range(1500)]
+    hosts = {f"h{number}": Host() for number in range(4)}
+    async with anyio.create_task_group() as tasks:
+        bus = Bus()
+        await tasks.start(bus.run)
+        for host in hosts.values():
+            await tasks.start(host.run)
+        bus.publish(*(bus_entry(name, host) for name, host in hosts.items()), full=True)
+        processes = Processes(tasks, tmp_path)
+        process = await processes.start("n0", bus.address, bus.known(), sockets=1024, memory_mb=MEMORY_MB)
+        await process.connect()
+
+        async def send_all(number):
+            stream = await TcpNet().connect(process.address)
+            client = OwnerClient(stream)
+            tasks.start_soon(client.read)
+            await stream.send(
+                b"".join(setup_line(f"{number * lines + line:016x}", fields) for line in range(lines))
+            )
+            with anyio.move_on_after(7):
+                await client.closed.wait()
+
+        async with anyio.create_task_group() as senders:
+            for number in range(clients):
+                senders.start_soon(send_all, number)
+        usual = await processes.client(process)
+        await usual.setup("f" * 16, left="2000")
+        with anyio.fail_after(2.5):  # placed, or refused since the hosts are full
+            while not usual.received:
+                await usual.arrival.wait()
+        peak = peak_mb(process.child.pid)
+        await processes.end()
+        tasks.cancel_scope.cancel()
+    assert peak <= PEAK_MB, f"{peak:.0f} MB"
+
+
+async def test_set_ups_beyond_a_connections_share_are_refused_as_they_are_read(tmp_path, log):
+    # Guards against holding, without a bound in bytes, what one client has sent ahead; and against reading no
+    # further once that bound is reached, as a cancellation may be behind it.
+    async with platform_cluster(tmp_path, log, {"h1": Host(), "h2": Host()}) as g:
+        budget = g.service.owners.budget
+        usual, greedy = await g.client(), await g.client()
+        tasks = [f"{number:016x}" for number in range(3000)]
+        await greedy.stream.send(b"".join(setup_line(task, sdp="x" * 4000) for task in tasks))
+        await usual.setup("f" * 16, cores=0.1)
+        await usual.wait_for("answer", "f" * 16)
+        await g.wait_until(8, lambda: len({line[1] for line in greedy.received}) == len(tasks))
+        answers = [line[0] for line in greedy.received]
+        assert len(answers) == len(tasks) and not greedy.closed.is_set()
+        assert g.service.owners.counts["no room"] > 0 and answers.count("answer") > 0
+        assert budget.used == 0 and not budget.shares.of
+
+
+async def test_taking_back_counts_behind_more_set_ups_than_a_connection_may_have(tmp_path, log):
+    # Guards against launches for set-ups that were taken back in the same breath.
+    async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
+        client = await g.client()
+        tasks = [f"{number:016x}" for number in range(3000)]
+        data = b"".join(setup_line(task, sdp="x" * 4000) for task in tasks)
+        await client.stream.send(data + b"".join(map(release_line, tasks)))
+        await client.setup("f" * 16, cores=0.1)
+        await client.wait_for("answer", "f" * 16, 10)
+        await g.wait_until(5, lambda: list(g.service.router.tasks) == ["f" * 16])
+        assert not client.closed.is_set() and len(g.hosts["h1"].received(Type.SETUP)) < len(tasks) / 2
+
+
+async def test_memory_of_lines_read_ahead_is_bounded(tmp_path, log, monkeypatch):
+    # Guards against a bound on the number of lines alone: a line of a thousand short fields that nobody needs
+    # is an object of over 100 KB once it is decoded.
+    async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
+        monkeypatch.setattr(g.service.inbox, "wait_for_space", anyio.sleep_forever)  # a long step
+        fields = [(f"{number:x}", f"{number}") for number in range(1000)]
+        client = await g.client()
+        tracemalloc.start()
+        try:
+            for number in range(500):
+                with anyio.move_on_after(0.5) as timeout:
+                    await client.stream.send(setup_line(f"{number:016x}", fields))
+                if timeout.cancelled_caught:
+                    break
+            await anyio.sleep(0.2)
+            held, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    bound = (64 << 20) / MEMORY_SHARE  # the process may use 64 MB
+    assert held <= bound, f"{held / 2**20:.1f} MB, at most {bound / 2**20:.1f} MB"
