Hand a client's set-ups on only once all is read that it has sent

Operators saw a client close its connection with much unread, and its requests sent on afterwards.

Cause: OwnerServer.handle_lines handed each line on as soon as it was read; the close comes some 30 reads later.

Change: after a read of 16 KiB or more nothing is handed on until the socket has nothing more; a client that sends without a pause for 0.5 s has its waiting set-ups refused. A release overtakes whatever waits, also if its task is not known.

--- a/linedeal/net/base.py
+++ b/linedeal/net/base.py
@@ -98,6 +98,8 @@
         self.stream = stream
         self.reader = reader
         self.pending: list = []  # decoded, not yet returned by receive()
+        self.reads = 0
+        self.received_bytes = 0  # by the last read
         self.error: FrameError | None = None
 
     async def receive(self):
@@ -124,6 +126,8 @@
             raise LinkLostError(f"bad frame: {self.error}")
         try:
             data = await self.stream.receive()
+            self.reads += 1
+            self.received_bytes = len(data)
             pending = []
             try:
                 for message in self.reader.feed(data):
--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -20,6 +20,9 @@
 SEND_TIMEOUT = 5.0  # seconds for an owner to read what is written
 MAX_INVALID_LINES = 20  # on one connection
 INVALID_LINE_PAUSE = 0.05  # seconds for which a connection is not handled after each of them
+# Bytes of one read from which more is likely to be in the socket, such as the end of the connection.
+BACKLOG_BYTES = 16384
+MAX_BACKLOG_TIME = 0.5  # seconds of such reads after which the set-ups that wait are refused
 MAX_WAITING_RELEASES = 4096  # that wait for a connection to be sent on
 # How long bytes may have been unread, in multiples of the loop's lateness: until a connection that came
 # with bytes is accepted; and until one that came without is accepted, set up and read.
@@ -242,14 +245,11 @@
         cancellation or a close may be behind any other. A set-up for which there is no room is refused.
         """
         drop_unused(line)
-        if line.type == "release" and not line.fault:
-            if owner.lines.requests_job(line.id):
-                owner.lines.remove_job_requests(line.id)
-                return
-            if line.id in self.router.tasks:
-                self.handle_line(owner, line, arrived_at)  # a cancellation overtakes the lines before it
-                return
-        if owner.lines.has_room(line):
+        if line.type == "release" and not line.fault and not owner.lines.hands_over(line.id):
+            # A cancellation overtakes the lines before it.
+            if not owner.lines.remove_job_requests(line.id):
+                self.handle_line(owner, line, arrived_at)
+        elif owner.lines.has_room(line):
             owner.lines.append(line, arrived_at)
         elif self.router.outlives_connection(line):
             await self.wait_for_room(owner, line)
@@ -296,6 +296,7 @@
         while True:
             await owner.lines_arrived.wait()
             owner.lines_arrived = anyio.Event()
+            await self.wait_until_read(owner)
             while owner.lines:
                 await self.inbox.wait_for_space()
                 if not owner.lines:
@@ -306,6 +307,23 @@
                     await anyio.sleep(INVALID_LINE_PAUSE)
                 owner.line_handled.set()
 
+    async def wait_until_read(self, owner: OwnerLink) -> None:
+        """Waits until all is read that a connection has sent, if that is much.
+
+        Its client may have closed it since, or taken back what it requested; the set-ups before that would
+        be launched for nobody. One that sends without a pause has its waiting set-ups refused.
+        """
+        began_at = anyio.current_time()
+        while owner.link.received_bytes >= BACKLOG_BYTES:
+            reads = owner.link.reads
+            await let_readers_run()
+            if owner.link.reads == reads:
+                return
+            if anyio.current_time() - began_at > MAX_BACKLOG_TIME:
+                began_at = anyio.current_time()
+                for line in owner.lines.remove_all_job_requests():
+                    self.refuse_unread(owner, line)
+
     def count_invalid(self, owner: OwnerLink) -> None:
         """Counts an invalid line; raises LinkLostError after too many of them.
 
--- a/tests/platform_fixture.py
+++ b/tests/platform_fixture.py
@@ -237,6 +237,13 @@
                 await arrival.wait()
 
 
+def setup_line(task, fields=(), sdp=SDP):
+    """A set-up of a small job, as it is sent; `fields`: more of them."""
+    known = {"class": "web", "left": "6000", "tenant": "acme", "extras": "cores:0.1;memory:0.1;service:s"}
+    line = {"type": "setup", "id": task, "fields": known | dict(fields), "sdp": sdp}
+    return json.dumps(line, separators=(",", ":")).encode() + b"\n"
+
+
 class PlatformCluster:
     """The controller under test with its bus and hosts."""
 
@@ -312,4 +319,5 @@
     "unix_ms_ago",
     "parsed_config",
     "release",
+    "setup_line",
 ]
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -10,12 +10,13 @@
 
 from linedeal.net import TcpNet
 from linedeal.net.tcp import RECEIVE_BUFFER_BYTES
+from linedeal.platform import ownerlink
 from linedeal.platform.host_codec import Type
 from linedeal.platform.line_queue import LineQueue
 from linedeal.platform.log import Log
 from linedeal.platform.owner_codec import LINE_MEMORY_BYTES, Line, memory_bytes
 from linedeal.platform.request_budget import CONNECTION_SHARE, MEMORY_SHARE, RequestBudget
-from tests.platform_fixture import SDP, Bus, Host, OwnerClient, platform_cluster
+from tests.platform_fixture import Bus, Host, OwnerClient, platform_cluster, setup_line
 from tests.platform_processes import Processes
 from tests.test_terms import bus_entry
 
@@ -101,12 +102,6 @@
     return Log()
 
 
-def setup_line(task, fields=(), sdp=SDP):
-    known = {"class": "web", "left": "6000", "tenant": "acme", "extras": "cores:0.1;memory:0.1;service:s"}
-    line = {"type": "setup", "id": task, "fields": known | dict(fields), "sdp": sdp}
-    return json.dumps(line, separators=(",", ":")).encode() + b"\n"
-
-
 def release_line(task):
     return json.dumps({"type": "release", "id": task, "cause": 16}).encode() + b"\n"
 
@@ -137,11 +132,15 @@
     for task in ("a", "b", "a", "c"):
         queue.append(Line("setup", task, sdp="d"), 1.0)
     assert budget.used == 4 * size > 4 * LINE_MEMORY_BYTES
-    queue.remove_job_requests("a")
-    queue.remove_job_requests("x")
+    assert queue.remove_job_requests("a") and not queue.remove_job_requests("x")
     assert len(queue) == 2 and budget.used == 2 * size and not queue.requests_job("a")
     assert queue.popleft().line.id == "b" and not queue.requests_job("b") and queue.requests_job("c")
     assert [queued.line.id for queued in queue.drain()] == ["c"] and budget.used == 0
+    queue.append(Line("setup", "d", {"extras": "service:s;at:h1"}), 1.0)
+    assert queue.hands_over("d") and not queue.requests_job("d") and not queue.remove_job_requests("d")
+    assert [line.id for line in queue.remove_all_job_requests()] == [] and len(queue) == 1
+    queue.popleft()
+    assert not queue.hands_over("d") and not queue.hand_overs and budget.used == 0
 
 
 async def test_memory_is_bounded_whatever_fields_the_lines_of_many_clients_have(tmp_path):
@@ -234,3 +233,43 @@
             tracemalloc.stop()
     bound = (64 << 20) / MEMORY_SHARE  # the process may use 64 MB
     assert held <= bound, f"{held / 2**20:.1f} MB, at most {bound / 2**20:.1f} MB"
+
+
+def send_at_once(address, data):
+    """Sends `data` and closes the connection, before anything of it is read."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * len(data))
+    sock.connect(address)
+    sock.sendall(data)
+    sock.close()
+
+
+async def test_nothing_is_launched_for_a_client_that_closed_behind_many_set_ups(tmp_path, log):
+    # Guards against launches for set-ups whose client has left: the close was read only after all of them had
+    # been handled.
+    async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
+        send_at_once(g.address, b"".join(setup_line(f"{number:016x}") for number in range(1500)))
+        await g.wait_until(5, lambda: g.service.owners.counts["connections"] == 1)
+        await g.wait_until(5, lambda: not g.service.owners.links)
+        await anyio.sleep(0.2)
+        assert not g.hosts["h1"].received(Type.SETUP) and g.service.engine.counts["taken"] == 0
+        assert g.service.owners.budget.used == 0
+
+
+async def test_client_that_sends_without_a_pause_is_refused(tmp_path, log, monkeypatch):
+    # Guards against set-ups that wait without an answer for as long as their client sends more.
+    monkeypatch.setattr(ownerlink, "MAX_BACKLOG_TIME", 0.1)
+    async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
+        client, last = await g.client(), 0
+        with anyio.move_on_after(1.0):
+            while True:
+                await client.stream.send(
+                    b"".join(setup_line(f"{last + number:016x}") for number in range(200))
+                )
+                last += 200
+        await g.wait_until(
+            8, lambda: {f"{number:016x}" for number in range(last)} <= {line[1] for line in client.received}
+        )
+        ids = [line[1] for line in client.received]
+        assert len(ids) == len(set(ids)) == last and not client.closed.is_set()
+        assert g.service.owners.counts["no room"] > 0
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -2,6 +2,7 @@
 
 import math
 import os
+import socket
 import time
 from bisect import bisect_right
 from contextlib import asynccontextmanager
@@ -12,7 +13,7 @@
 
 from linedeal.net import TcpNet
 from linedeal.platform.host_codec import Type
-from tests.platform_fixture import SETUP, Bus, Host, OwnerClient, release
+from tests.platform_fixture import SETUP, Bus, Host, OwnerClient, release, setup_line
 from tests.platform_processes import Processes
 
 pytestmark = pytest.mark.anyio
@@ -180,6 +181,36 @@
         assert not late or late[-1] <= MAX_LAUNCH_DELAY
 
 
+async def test_nothing_is_launched_late_for_a_client_that_closed_behind_thousands_of_set_ups(tmp_path):
+    # Guards against reading a close only after all that its client had sent before it.
+    count = 6000
+    recorders = {f"h{n}": Recorder() for n in range(8)}
+    async with run_cluster(tmp_path, recorders) as (bus, processes, _):
+        bus.publish(*(bus_entry(name, host) for name, host in recorders.items()), full=True)
+        process = await processes.start("n0", bus.address, bus.known(), settings(1), sockets=1024)
+        usual = await processes.client(process)
+        for number in range(count, count + 100):  # so that connections to the hosts are open
+            await usual.setup(f"{number:016x}", cores=0.1)
+        await usual.wait_for("answer", f"{number:016x}")
+
+        def send_and_close():
+            lines = (setup_line(f"{number:016x}") for number in range(count))
+            with socket.create_connection(process.address) as client:
+                client.sendall(b"".join(lines))
+                time.sleep(0.05)
+            return time.monotonic()
+
+        closed_at = await anyio.to_thread.run_sync(send_and_close)
+        await anyio.sleep(3.0)
+        launches = [
+            at - closed_at for host in recorders.values() for at, task in host.setups if int(task, 16) < count
+        ]
+        late = [delay for delay in launches if delay > MAX_LAUNCH_DELAY]
+        last = max(launches, default=0.0)
+        print(f"{len(launches)} launches, {len(late)} of them late, the last {last:.3f} s after the close")
+        assert not late
+
+
 class InterruptedBus(Bus):
     """Closes every connection until it is `up`."""
 
