Launch no id again that was taken back, whoever sends it

Operators saw an id run twice that came again after its client had left.

Cause: Router forgot an id with its connection. A host may have accepted the launch before it read the cancellation; the same id was a new job to the engine.

One that comes again is answered as failed (47), which promises nothing; its connection stays open.

--- a/linedeal/platform/router.py
+++ b/linedeal/platform/router.py
@@ -8,6 +8,7 @@
 from linedeal.platform.host_codec import Code
 from linedeal.platform.recipients import Recipients
 from linedeal.platform.request_budget import RequestBudget
+from linedeal.platform.withdrawn import WithdrawnTasks
 
 MIN_TIME_LEFT = 0.001  # seconds
 IGNORED_TYPES = frozenset(("progress", "released", "note", "move", "pong"))
@@ -44,13 +45,20 @@
 class Router:
     """Translates lines of owners to engine events, and engine effects to messages for owners."""
 
-    def __init__(self, settings: api.Settings, recipients: Recipients, budget: RequestBudget):
+    def __init__(
+        self,
+        settings: api.Settings,
+        recipients: Recipients,
+        budget: RequestBudget,
+        withdrawn: WithdrawnTasks,
+    ):
         """Starts without tasks; `ready` is reported in the reply to a ping.
 
         `recipients` is notified of the jobs of each connection; `budget` counts the set-ups without an
-        answer.
+        answer, `withdrawn` has the ids of those that were taken back.
         """
         self.settings, self.recipients, self.budget = settings, recipients, budget
+        self.withdrawn = withdrawn
         self.ready = False
         self.tasks: dict[str, Task] = {}
         self.by_job: dict[str, Task] = {}
@@ -108,6 +116,9 @@
                 # the first set-up with this id stays in effect and is answered
                 return LineResult(valid=False)
             raise UnanswerableError("a second set-up under the id of a known task")
+        if line.id in self.withdrawn and not request.host:
+            # Its first launch may have run: no second one, and no promise that it has not run.
+            return LineResult(reply=owner_codec.encode_release(line.id, owner_codec.FAILED), valid=None)
         task = self.tasks[line.id] = Task(line.id, client, running=bool(request.host))
         work = build_work(line.id, request, line.sdp)
         if request.host:
@@ -153,7 +164,7 @@
             return LineResult(events.StopRequested(task.job))
         if task.client != client:
             raise UnanswerableError("it cancels a job of another connection")
-        self.remove(task)
+        self.withdraw(task)
         return LineResult(events.JobWithdrawn(client, task.id))
 
     def outlives_connection(self, line: owner_codec.Line) -> bool:
@@ -165,9 +176,15 @@
     def disconnect(self, client: int) -> events.ClientDisconnected:
         """Forgets the unanswered jobs of a connection that has ended; returns the event for the engine."""
         for task in list(self.unanswered.get(client, ())):
-            self.remove(self.tasks[task])
+            self.withdraw(self.tasks[task])
         return events.ClientDisconnected(client)
 
+    def withdraw(self, task: Task) -> None:
+        """Forgets a task whose owner waits no longer; remembers its id if the engine may have launched it."""
+        if task.job:
+            self.withdrawn.add(task.id)
+        self.remove(task)
+
     def remove(self, task: Task) -> None:
         """Forgets a task."""
         self.tasks.pop(task.id, None)
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -21,6 +21,7 @@
 from linedeal.platform.recipients import Recipients
 from linedeal.platform.request_budget import RequestBudget
 from linedeal.platform.router import Router
+from linedeal.platform.withdrawn import WithdrawnTasks
 
 ACCEPT_AFTER_SIGTERM = 0.8  # seconds for which jobs are still accepted
 MAX_RUNNING_AFTER_SIGTERM = 3.4  # seconds for which the ends of running jobs are still passed on
@@ -57,7 +58,8 @@
         self.stepper = EngineStepper(self.engine, self.inbox, setup.cluster.limits.tick)
         recipients = Recipients(anyio.current_time)
         budget = RequestBudget(setup.memory_bytes)
-        self.router = Router(setup.cluster.settings, recipients, budget)
+        withdrawn = WithdrawnTasks(anyio.current_time)
+        self.router = Router(setup.cluster.settings, recipients, budget, withdrawn)
         self.descriptors = DescriptorBudget(setup.sockets)
         self.check_pacer = CheckPacer()
         self.lateness = Lateness()
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -10,7 +10,7 @@
 
 from linedeal.net import TcpNet
 from linedeal.net.tcp import RECEIVE_BUFFER_BYTES
-from linedeal.platform import ownerlink
+from linedeal.platform import ownerlink, withdrawn
 from linedeal.platform.host_codec import Type
 from linedeal.platform.line_queue import LineQueue
 from linedeal.platform.log import Log
@@ -273,3 +273,18 @@
         ids = [line[1] for line in client.received]
         assert len(ids) == len(set(ids)) == last and not client.closed.is_set()
         assert g.service.owners.counts["no room"] > 0
+
+
+def test_withdrawn_ids_are_remembered_for_a_time_and_up_to_a_number(monkeypatch):
+    monkeypatch.setattr(withdrawn, "MAX_REMEMBERED", 3)
+    now = 0.0
+    known = withdrawn.WithdrawnTasks(lambda: now)
+    for task in ("a", "b", "c"):
+        known.add(task)
+    known.add("a")  # again: now the newest
+    known.add("d")
+    assert "b" not in known and all(task in known for task in ("a", "c", "d"))
+    now = withdrawn.RETENTION + 1
+    assert "d" not in known
+    known.add("e")
+    assert list(known.withdrawn_at) == ["e"]
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -315,6 +315,10 @@
     )
 
 
+async def ignores_setups(host, stream, frame):
+    return frame.type == Type.SETUP
+
+
 def release_line(task):
     return json.dumps({"type": "release", "id": task, "fields": {}, "cause": 16}).encode() + b"\n"
 
@@ -322,6 +326,28 @@
 BAD = setup_line(B, "none")
 
 
+@pytest.mark.parametrize("how", ["cancels", "closes"])
+async def test_id_that_comes_again_after_its_client_left_is_not_launched_again(tmp_path, log, how):
+    # Guards against a second run: a host may have accepted the first launch before it read the cancellation.
+    hosts = {"h1": Host(ignores_setups), "h2": Host(ignores_setups)}
+    async with platform_cluster(tmp_path, log, hosts) as g:
+        first, second = await g.client(), await g.client()
+        await first.setup(A, "feed")
+        await g.wait_until(2, lambda: any(host.received(Type.SETUP) for host in g.hosts.values()))
+        if how == "cancels":
+            await first.send("release", A, cause=16)
+        else:
+            await first.stream.aclose()
+        await g.wait_until(2, lambda: A not in g.service.router.tasks)
+        await second.setup(A, "feed")
+        assert (await second.wait_for("release", A))[2] == 47  # refused, it would be promised not to have run
+        await second.setup(B)
+        await g.wait_until(2, lambda: B in g.service.router.tasks)
+        assert not second.closed.is_set()
+        launched = [frame.task.hex() for host in g.hosts.values() for frame in host.received(Type.SETUP)]
+        assert launched.count(A) == 1
+
+
 @pytest.mark.parametrize("how", ["cancels", "closes"])
 async def test_disconnect_or_cancel_after_invalid_messages_takes_effect_at_once(
     tmp_path, log, raw_owner, how
