End jobs of a gone host also at whatever listens at its address

Operators saw a new process come up at the address of one that had gone and be taken for the old one.

Cause: until the list tells, the address is known under the old id, and the new host accepts what it is sent. When the list calls the old id gone, Engine.lose_jobs_of_gone_hosts ends its jobs, and HostLink.cancel dropped the connections, with nothing written.

Change: HostLink.forget queues a release for each job that ends with its host, which cuts it there; HostLink.cancel waits until that is written, for 0.5 s at most.

--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -40,6 +40,7 @@
 RESPONSE_TIMEOUT = 2.0  # seconds for the host to send anything after a set-up or a ping
 PING_SHARE = 0.5  # of RESPONSE_TIMEOUT, after which a host that was sent a set-up is sent a ping
 SEND_TIMEOUT = 2.0  # seconds for the host to read what is written
+LAST_WRITE_TIMEOUT = 0.5  # seconds for that of a host that has left the list
 CHECK_READ_TIME = 0.1  # seconds for which a connection that was opened as a test is read
 RETRY_DELAY = 0.2  # seconds between attempts to connect to a host that runs jobs
 # Answers and releases in a row without effect, such as repeated ones and those for unknown tasks.
@@ -94,11 +95,18 @@
         self.partial_frame_since = 0.0  # 0: no frame is incomplete
         self.useless_frames = 0  # answers and releases since the last that had an effect
         self.closing = False  # gets no further launches
+        self.sending = False
+        self.written = anyio.Event()  # set after each write
 
     def is_unanswered(self, now: float) -> bool:
         """Whether the host has sent nothing for too long although a reply is due."""
         return bool(self.awaiting_since) and now - self.awaiting_since > RESPONSE_TIMEOUT
 
+    @property
+    def is_writing(self) -> bool:
+        """Whether anything is queued or being written."""
+        return bool(self.outbox) or self.sending
+
     def enqueue(self, effect) -> None:
         """Queues an effect, or the bytes of a frame."""
         self.outbox.append(effect)
@@ -251,14 +259,32 @@
         self.inbox.put(events.LaunchesCancelled(self.listed.id, (number,)))
 
     def forget(self, effect: effects.NotifyEnded) -> None:
-        """Forgets a running job that has ended."""
+        """Forgets a running job that has ended.
+
+        If it has ended because its host left the list, it is also ended at whatever listens at that address:
+        another host may have come up there, and have accepted it under the name of the one that is gone.
+        """
         task = self.task_by_launch.pop(effect.number, None)
         if task is not None and self.running.get(task) == effect.number:
             del self.running[task]
             self.stopping.pop(task, None)
+            connection = self.least_busy()
+            if self.listed.mode is Mode.GONE and connection is not None:
+                connection.enqueue(release_frame(task))
 
     def cancel(self) -> None:
-        """Ends all connections; the host has been removed."""
+        """Ends all connections once what is queued for them is written; the host has been removed."""
+        if any(connection.is_writing for connection in self.connections):
+            self.tasks.start_soon(self.cancel_after_last_write)
+        else:
+            self.scope.cancel()
+
+    async def cancel_after_last_write(self) -> None:
+        """Waits until what is queued is written, for a limited time, and ends all connections."""
+        with anyio.move_on_after(LAST_WRITE_TIMEOUT):
+            for connection in list(self.connections):
+                while connection.is_writing and connection in self.connections:
+                    await connection.written.wait()
         self.scope.cancel()
 
     # -- tasks
@@ -471,11 +497,15 @@
             data, cancelled = self.encode_outbox(connection), dict(connection.cancelled)
             if data:
                 connection.used_at = anyio.current_time()
+                connection.sending = True
                 await connection.link.send(data, SEND_TIMEOUT)
+                connection.sending = False
                 if cancelled:
                     for task in cancelled:
                         del connection.cancelled[task]
                     self.inbox.put(events.LaunchesCancelled(self.listed.id, tuple(cancelled.values())))
+            connection.written.set()
+            connection.written = anyio.Event()
 
     def encode_outbox(self, connection: Connection) -> bytes:
         """Returns the bytes of the next write, after it has reported the launches in them as sent."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -453,6 +453,28 @@
         await g.wait_until(2, lambda: list(g.service.hosts) == ["h1"])
 
 
+async def test_jobs_at_a_new_host_at_a_gone_ones_address_are_ended_there_too(tmp_path, log):
+    # Guards against telling that a job is over while it runs: a host that came up at the address of one that
+    # had died was sent jobs under the old name until the list told of both.
+    async with platform_cluster(tmp_path, log, {"old": Host()}) as g:
+        owner, process = await g.client(), g.hosts["old"]
+        tasks = [f"{number:016x}" for number in range(4)]
+        for task in tasks:
+            await owner.setup(task, "feed" if task == tasks[0] else "web", cores=0.5, service=task)
+        for task in tasks:
+            await owner.wait_for("answer", task)
+        assert process.running == {bytes.fromhex(task) for task in tasks}
+        g.bus.publish(g.server_entry("old", "DELETED"), g.server_entry("old", id="new"))
+        for task in tasks:
+            assert (await owner.wait_for("release", task))[2] == 41
+        await g.wait_until(2, lambda: not process.running)
+        await g.wait_until(2, lambda: list(g.service.hosts) == ["new"])
+        await g.wait_until(2, lambda: len(process.streams) <= len(g.service.hosts["new"].connections))
+        await owner.setup(A)  # goes to the new one, by its own name
+        await owner.wait_for("answer", A)
+        assert running_job_count(g.service, "new") == 1
+
+
 async def test_jobs_handed_over_are_counted_and_their_ends_passed_on(tmp_path, log):
     async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
         owner = await g.client()
