Bound the answers that all owners leave unread, and take nothing of a closed connection

Found while bounding what clients can make a controller hold; no caller met either.

Each owner may leave 256 KiB unread, so 500 that read nothing could hold 128 MB together. Bytes being written did not count. Now they do, and all owners may leave 8 MiB; beyond it the one that leaves most is disconnected.

A connection that was closed while the lines of one read were taken (a refusal that it left unread) had the rest of them taken too, since reading no longer waits: 17 KB of the budget were never given back. What is left over is dropped with the connection, but for lines about running jobs, which count as before.

Measured: test_nothing_is_taken_of_a_connection_that_was_closed_as_its_lines_were_read failed before (16,975 bytes kept), test_answers_that_all_clients_together_leave_unread_are_bounded checks the new bound; both pass.

--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -17,6 +17,7 @@
 NEW_CONNECTION_GRACE = 0.5  # seconds for which a new connection ranks last among those to be closed
 FIRST_MESSAGE_TIMEOUT = 2.0  # seconds for a valid message on a new connection, and for a started line to end
 MAX_UNREAD_BYTES = 262144  # that an owner may leave unread
+MAX_TOTAL_UNREAD_BYTES = 8 << 20  # that all owners together may
 SEND_TIMEOUT = 5.0  # seconds for an owner to read what is written
 MAX_INVALID_LINES = 20  # on one connection
 INVALID_LINE_PAUSE = 0.05  # seconds for which a connection is not handled after each of them
@@ -45,10 +46,11 @@
         self.has_sent_valid = False  # a message that the protocol allows
         self.invalid_lines = 0
         self.partial_line_since = 0.0  # 0: no line is incomplete
+        self.received: deque[Line] = deque()  # by the last read, and not in `lines` yet
         self.lines_arrived = anyio.Event()
         self.line_handled = anyio.Event()
         self.outbox: list[tuple[bytes, bool]] = []  # bytes to write, and whether they are about a running job
-        self.unread = 0  # bytes in the outbox
+        self.unread = 0  # bytes in the outbox, or being written
         self.writing = False  # what was in the outbox is being written
         self.wake = anyio.Event()
         self.scope = anyio.CancelScope()
@@ -80,6 +82,7 @@
             log,
         )
         self.links: dict[int, OwnerLink] = {}
+        self.unread = 0  # bytes that are queued for all of them, or being written
         self.closing = 0  # connections that are disconnected but whose sockets are not closed yet
         self.waiting: deque[bytes] = deque(maxlen=MAX_WAITING_RELEASES)
         self.counts = {"connections": 0, "shed": 0, "refused as read": 0, "no room": 0, "closed on": 0}
@@ -114,13 +117,23 @@
                 return
 
     def enqueue(self, owner: OwnerLink, data: bytes, about_running: bool = False) -> None:
-        """Queues `data` on a connection; disconnects one that leaves too much unread."""
+        """Queues `data` on an open connection; disconnects one that leaves too much unread."""
+        if owner.number not in self.links:
+            return
         owner.outbox.append((data, about_running))
-        owner.unread += len(data)
+        self.count_unread(owner, len(data))
         if owner.unread > MAX_UNREAD_BYTES:
             self.disconnect(owner, "it leaves too much unread")
+        elif self.unread > MAX_TOTAL_UNREAD_BYTES:
+            most_unread = max(self.links.values(), key=lambda link: link.unread)
+            self.disconnect(most_unread, "it leaves the most unread of all")
         owner.wake.set()
 
+    def count_unread(self, owner: OwnerLink, size: int) -> None:
+        """Counts bytes that are queued for an open connection; a negative size: that have been written."""
+        owner.unread += size
+        self.unread += size
+
     async def handle(self, stream) -> None:
         """Serves one connection until it ends."""
         number = self.next_number()
@@ -155,11 +168,15 @@
         self.recipients.on_disconnected(owner.number)
         self.closing += 1
         owner.reason = reason
+        self.count_unread(owner, -owner.unread)
         owner.scope.cancel()
-        for queued in owner.lines.drain():
-            if self.router.outlives_connection(queued.line):
+        lines = [(queued.line, queued.arrived_at) for queued in owner.lines.drain()]
+        lines += [(line, owner.received_at) for line in owner.received]
+        owner.received.clear()
+        for line, arrived_at in lines:
+            if self.router.outlives_connection(line):
                 try:
-                    self.handle_line(owner, queued.line, queued.arrived_at)
+                    self.handle_line(owner, line, arrived_at)
                 except LinkLostError:
                     pass  # it ends in any case
         self.inbox.put(self.router.disconnect(owner.number))
@@ -194,7 +211,11 @@
 
     def is_idle(self, owner: OwnerLink) -> bool:
         """Whether it may be closed: it has no unanswered job and no unhandled line."""
-        return owner.number not in self.router.unanswered and not owner.lines and owner.number in self.links
+        return (
+            owner.number not in self.router.unanswered
+            and not (owner.lines or owner.received)
+            and owner.number in self.links
+        )
 
     def close_rank(self, owner: OwnerLink) -> tuple:
         """The order in which idle connections are closed, lowest first.
@@ -233,9 +254,12 @@
                 arrived_at, owner.first_bytes_at = owner.first_bytes_at - late * ACCEPT_ITERATIONS, None
             else:
                 arrived_at = owner.received_at - late * (NEW_CONNECTION_ITERATIONS if new else 1)
-            lines = deque(lines)
-            while lines:  # emptied, so that nothing is held while this task waits
-                await self.receive_line(owner, lines.popleft(), arrived_at)
+            owner.received.extend(lines)
+            del lines  # so that nothing is held while this task waits
+            while owner.received:
+                await self.receive_line(owner, owner.received[0], arrived_at)
+                if owner.received:  # empty if the connection has been closed meanwhile
+                    owner.received.popleft()
             owner.lines_arrived.set()
 
     async def receive_line(self, owner: OwnerLink, line: Line, arrived_at: float) -> None:
@@ -368,10 +392,12 @@
         while True:
             await owner.wake.wait()
             owner.wake = anyio.Event()
-            data, owner.outbox, owner.unread = b"".join(data for data, _ in owner.outbox), [], 0
+            data, owner.outbox = b"".join(data for data, _ in owner.outbox), []
             owner.writing = True
             await owner.link.send(data, SEND_TIMEOUT)
             owner.writing = False
+            if owner.number in self.links:
+                self.count_unread(owner, -len(data))
 
     def has_unwritten(self) -> bool:
         """Whether anything is queued or being written."""
@@ -379,7 +405,7 @@
 
     def has_unhandled_lines(self) -> bool:
         """Whether lines that were read are not handled yet."""
-        return any(len(owner.lines) for owner in self.links.values())
+        return any(owner.lines or owner.received for owner in self.links.values())
 
     def has_unserved(self) -> bool:
         """Whether a connection has been accepted that is not served yet."""
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -288,3 +288,49 @@
     assert "d" not in known
     known.add("e")
     assert list(known.withdrawn_at) == ["e"]
+
+
+async def test_answers_that_all_clients_together_leave_unread_are_bounded(tmp_path, log, monkeypatch):
+    # Guards against many clients that read nothing, each within its own bound.
+    monkeypatch.setattr(ownerlink, "MAX_TOTAL_UNREAD_BYTES", 100_000)
+    async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
+        owners = g.service.owners
+        silent = [await TcpNet().connect(g.address) for _ in range(8)]
+        usual = await g.client()
+        await usual.setup("f" * 16, cores=0.1)
+        await usual.wait_for("answer", "f" * 16)
+        await g.wait_until(2, lambda: len(owners.links) == 9)
+        links = list(owners.links.values())
+        monkeypatch.setattr(type(links[0].link), "send", never_sends)
+        for link in links[:8]:
+            for _ in range(20):
+                owners.enqueue(link, bytes(1000))
+                assert owners.unread <= ownerlink.MAX_TOTAL_UNREAD_BYTES
+        assert sum(link.number in owners.links for link in links[:8]) < 8
+        assert links[8].number in owners.links
+        for link in links:
+            owners.disconnect(link, "the test ends")
+            owners.enqueue(link, bytes(1000))
+        assert owners.unread == 0
+        for stream in silent:
+            await stream.aclose()
+
+
+async def never_sends(link, data, timeout):
+    await anyio.sleep_forever()
+
+
+async def test_nothing_is_taken_of_a_connection_that_was_closed_as_its_lines_were_read(
+    tmp_path, log, monkeypatch
+):
+    # Guards against jobs, and bytes of the budget, that no connection will ever give back.
+    monkeypatch.setattr(ownerlink, "MAX_UNREAD_BYTES", 2000)
+    async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
+        owners = g.service.owners
+        monkeypatch.setattr(owners.budget, "total", 80_000)
+        send_at_once(g.address, b"".join(setup_line(f"{number:016x}") for number in range(150)))
+        await g.wait_until(5, lambda: owners.counts["connections"] == 1)
+        await g.wait_until(5, lambda: not owners.links)
+        await anyio.sleep(0.2)
+        assert owners.counts["no room"] > 0
+        assert owners.budget.used == 0 and not owners.budget.shares.of and not g.service.router.tasks
