Keep a connection that holds nothing when its waiting set-ups are refused

Cause: FairShares.add with an amount of 0 for who holds nothing raised KeyError; LineQueue.remove_all_job_requests gives back 0 where no set-up waits.

The test of the queue failed before and passes.

--- a/linedeal/engine/admission.py
+++ b/linedeal/engine/admission.py
@@ -21,7 +21,7 @@
         if now:
             self.of[customer] = now
         else:
-            del self.of[customer]
+            self.of.pop(customer, None)
 
     def admits(self, customer: Hashable, held: int, limit: int) -> bool:
         """Whether this customer may have more, where all customers together hold `held` of at most `limit`.
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -134,6 +134,7 @@
     assert budget.used == 4 * size > 4 * LINE_MEMORY_BYTES
     assert queue.remove_job_requests("a") and not queue.remove_job_requests("x")
     assert len(queue) == 2 and budget.used == 2 * size and not queue.requests_job("a")
+    assert not LineQueue(2, budget).remove_all_job_requests()  # of a connection that holds nothing
     assert queue.popleft().line.id == "b" and not queue.requests_job("b") and queue.requests_job("c")
     assert [queued.line.id for queued in queue.drain()] == ["c"] and budget.used == 0
     queue.append(Line("setup", "d", {"extras": "service:s;at:h1"}), 1.0)
