--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -335,3 +335,14 @@
         await anyio.sleep(0.2)
         assert owners.counts["no room"] > 0
         assert owners.budget.used == 0 and not owners.budget.shares.of and not g.service.router.tasks
+
+
+async def test_handing_over_jobs_that_no_host_holds_leaves_room_for_others(tmp_path, log):
+    # Guards against clients that make up running jobs: hosts count as full with jobs that nobody ever ends.
+    async with platform_cluster(tmp_path, log) as g:
+        bad, usual = await g.client(), await g.client()
+        for number in range(400):
+            await bad.setup(f"{number:016x}", at=("h1", "h2")[number % 2], left="4294967")
+        await g.wait_until(5, lambda: g.service.engine.counts["handed over"] == 400)
+        await usual.setup("f" * 16)
+        await usual.wait_for("answer", "f" * 16)
