Read a connection to a host until the host closes it too, while jobs run there

Cause: the controller closed its connections to the host in both directions: the job's own after 2 s without a reply, tests 0.1 s after they came up. A host that goes on sends each end on the first and repeats it on the next one that it accepts, a test. Both met closed sockets. Evidence: the record shows both copies sent on such connections 2 ms before the host found them closed. The host finds the same as before, so launches are given up as before; nothing can be written there any more. RESPONSE_TIMEOUT stays where it was; Connection and two frames have a module of their own.

--- a/linedeal/net/base.py
+++ b/linedeal/net/base.py
@@ -41,6 +41,10 @@
         """Waits for the next bytes; raises anyio.EndOfStream at the end."""
         ...
 
+    async def send_eof(self) -> None:
+        """Closes the direction to the peer."""
+        ...
+
     async def aclose(self) -> None:
         """Closes both directions."""
         ...
@@ -161,6 +165,13 @@
         except CONNECTION_ERRORS as error:
             raise LinkLostError(describe_error(error)) from None
 
+    async def end_writing(self) -> None:
+        """Closes the direction to the peer, which finds the stream at its end; it can still be read."""
+        try:
+            await self.stream.send_eof()
+        except (*CONNECTION_ERRORS, RuntimeError):
+            pass  # the connection has ended; uvloop raises RuntimeError for one whose socket is closed
+
     async def close(self) -> None:
         """Closes the stream without waiting for unsent data; also works in a cancelled task."""
         await close_stream(self.stream)
--- /dev/null
+++ b/linedeal/platform/host_connection.py
@@ -0,0 +1,70 @@
+"""The state of one connection to a host, and the frames that are the same for every host."""
+
+from collections import deque
+
+import anyio
+
+from linedeal.net import Link
+from linedeal.platform import host_codec, owner_codec
+from linedeal.platform.host_codec import Code, Type
+
+
+class Connection:
+    """The state of one connection to a host."""
+
+    def __init__(self, number: int, link: Link, now: float):
+        """`number`: identifies the connection in the engine's events."""
+        self.number, self.link, self.opened_at = number, link, now
+        self.outbox: deque = deque()
+        self.wake = anyio.Event()
+        self.unanswered: dict[bytes, int] = {}  # launches without an answer, by task
+        self.unsent: set[int] = set()  # those of them of which no byte has been written
+        # Cancelled launches whose release has not been written yet, by task.
+        self.cancelled: dict[bytes, int] = {}
+        # Tasks whose set-up was sent here, each with the time until which it may be launched again.
+        self.carried: dict[bytes, float] = {}
+        self.probes: dict[bytes, int] = {}
+        self.used_at = now
+        self.was_heard = False  # whether the host has sent anything on it
+        self.awaiting_since = 0.0  # the first set-up or ping since the host last sent anything; 0: none
+        self.pinged = False  # since the host last sent anything
+        self.partial_frame_since = 0.0  # 0: no frame is incomplete
+        self.useless_frames = 0  # answers and releases since the last that had an effect
+        self.closing = False  # gets no further launches
+        self.closed = False  # its socket
+        self.sending = False
+        self.written = anyio.Event()  # set after each write
+
+    def has_awaited(self, seconds: float, now: float) -> bool:
+        """Whether a reply has been due for longer than `seconds` and the host has sent nothing."""
+        return bool(self.awaiting_since) and now - self.awaiting_since > seconds
+
+    @property
+    def is_writing(self) -> bool:
+        """Whether anything is queued or being written."""
+        return bool(self.outbox) or self.sending
+
+    def enqueue(self, effect) -> None:
+        """Queues an effect, or the bytes of a frame."""
+        self.outbox.append(effect)
+        self.wake.set()
+
+    def forget_requests(self) -> None:
+        """Forgets what a reply was due to: the requests count as lost, and later replies are ignored."""
+        self.outbox.clear()
+        self.unanswered.clear()
+        self.unsent.clear()
+        self.cancelled.clear()
+        self.probes.clear()
+
+
+def ping_frame() -> bytes:
+    """A ping that requests no report; it only checks whether the host answers."""
+    return host_codec.encode(Type.PING, bytes(8), host_codec.parameter(Code.CAUSE, b"\x00"))
+
+
+def release_frame(task: bytes) -> bytes:
+    """Cancels a launch, or ends a running job."""
+    return host_codec.encode(
+        Type.RELEASE, task, host_codec.parameter(Code.CAUSE, bytes([owner_codec.NORMAL]))
+    )
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -29,6 +29,8 @@
 from linedeal.platform import host_codec, owner_codec
 from linedeal.platform.descriptors import DescriptorBudget
 from linedeal.platform.host_codec import Code, Type
+from linedeal.platform.host_connection import Connection, ping_frame, release_frame
+from linedeal.platform.lingering import LingeringConnections
 from linedeal.platform.reachability import CheckPacer, Reachability
 from linedeal.settings.records import Limits
 from linedeal.wiresettings import METRICS, REASONS
@@ -74,45 +76,6 @@
         self.began_at, self.refused = began_at, refused
 
 
-class Connection:
-    """The state of one connection to a host."""
-
-    def __init__(self, number: int, link: Link, now: float):
-        """`number`: identifies the connection in the engine's events."""
-        self.number, self.link, self.opened_at = number, link, now
-        self.outbox: deque = deque()
-        self.wake = anyio.Event()
-        self.unanswered: dict[bytes, int] = {}  # launches without an answer, by task
-        self.unsent: set[int] = set()  # those of them of which no byte has been written
-        # Cancelled launches whose release has not been written yet, by task.
-        self.cancelled: dict[bytes, int] = {}
-        # Tasks whose set-up was sent here, each with the time until which it may be launched again.
-        self.carried: dict[bytes, float] = {}
-        self.probes: dict[bytes, int] = {}
-        self.used_at = now
-        self.awaiting_since = 0.0  # the first set-up or ping since the host last sent anything; 0: none
-        self.pinged = False  # since the host last sent anything
-        self.partial_frame_since = 0.0  # 0: no frame is incomplete
-        self.useless_frames = 0  # answers and releases since the last that had an effect
-        self.closing = False  # gets no further launches
-        self.sending = False
-        self.written = anyio.Event()  # set after each write
-
-    def is_unanswered(self, now: float) -> bool:
-        """Whether the host has sent nothing for too long although a reply is due."""
-        return bool(self.awaiting_since) and now - self.awaiting_since > RESPONSE_TIMEOUT
-
-    @property
-    def is_writing(self) -> bool:
-        """Whether anything is queued or being written."""
-        return bool(self.outbox) or self.sending
-
-    def enqueue(self, effect) -> None:
-        """Queues an effect, or the bytes of a frame."""
-        self.outbox.append(effect)
-        self.wake.set()
-
-
 class HostLink:
     """One host during the run of a controller. The synchronous methods carry out the engine's effects."""
 
@@ -126,6 +89,7 @@
         max_connections: Callable[[], int],
         descriptors: DescriptorBudget,
         check_pacer: CheckPacer,
+        lingering: LingeringConnections,
         is_awaited: Callable[[bytes], bool],
         inbox: Inbox,
         next_number,
@@ -146,6 +110,7 @@
             next_number,
         )
         self.descriptors, self.check_pacer, self.is_awaited = descriptors, check_pacer, is_awaited
+        self.lingering = lingering
         self.outbox: deque = deque()
         self.connections: list[Connection] = []
         self.task_by_launch: dict[int, bytes] = {}  # of launches that are unanswered or running
@@ -434,32 +399,81 @@
         connection = Connection(self.next_number(), Link(stream, host_codec.FrameReader()), now)
         try:
             await self.read_until(connection, now + CHECK_READ_TIME)
+            await self.end_writing(connection)
+            await self.linger(connection)
         except LinkLostError:
             pass  # it was to be closed anyway
         except Exception:
             self.log.error("fault", where=self.listed.id, trace=traceback.format_exc())
         finally:
-            await connection.link.close()
-            self.descriptors.remove(hosts=1)
+            await self.close(connection)
 
     async def serve(self, connection: Connection) -> None:
-        """Runs a connection until it ends, then reports what was on it."""
+        """Runs a connection until it ends, reports what was on it, and reads what the host still sends."""
+        try:
+            try:
+                reason = await self.exchange(connection)
+                await self.end_writing(connection)
+            finally:
+                connection.closing = True
+                # Only once it has ended for the host may its launches go elsewhere.
+                self.connections.remove(connection)
+            await self.report_lost(connection, reason)
+            await self.linger(connection)
+        finally:
+            await self.close(connection)
+
+    async def exchange(self, connection: Connection) -> str:
+        """Writes and reads until the connection is lost or to be closed; returns the reason."""
         try:
             await run_until_link_lost(
                 self.write(connection), self.read(connection), self.check_timeouts(connection)
             )
         except LinkLostError as error:
-            reason = str(error)
+            return str(error)
         except Exception as error:
             # An error in this program that one host's input triggers ends only that connection.
-            reason = type(error).__name__
             self.log.error("fault", where=self.listed.id, trace=traceback.format_exc())
-        finally:
-            connection.closing = True
+            return type(error).__name__
+
+    async def end_writing(self, connection: Connection) -> None:
+        """Closes a connection for the host, which can still be read if jobs run there.
+
+        Not if a write is unfinished: what is left of it must not reach the host any more.
+        """
+        connection.closing = True
+        if self.running and not connection.sending:
+            await connection.link.end_writing()
+        else:
+            await self.close(connection)
+
+    async def close(self, connection: Connection) -> None:
+        """Closes a connection's socket, once."""
+        if not connection.closed:
+            connection.closed = True
             await connection.link.close()
             self.descriptors.remove(hosts=1)
-            # Only once it is closed may its launches go elsewhere.
-            self.connections.remove(connection)
+
+    async def linger(self, connection: Connection) -> None:
+        """Reads a connection on which nothing is written any more, until the host closes it too.
+
+        A host whose process hangs sends the ends of jobs on it before it notices the close. No longer than
+        jobs run there, and as `lingering` has room.
+        """
+        try:
+            with self.lingering.hold(self.listed.id, connection.was_heard):
+                await run_until_link_lost(self.read(connection), self.wait_until_no_job_runs())
+        except LinkLostError:
+            pass
+
+    async def wait_until_no_job_runs(self) -> None:
+        """Raises LinkLostError once no job runs there."""
+        while self.running:
+            await anyio.sleep(CHECK_INTERVAL)
+        raise LinkLostError("no job runs there")
+
+    async def report_lost(self, connection: Connection, reason: str) -> None:
+        """Reports what was on a connection that has ended."""
         for task, number in connection.unanswered.items():
             self.task_by_launch.pop(number, None)
             if number not in connection.unsent:
@@ -481,7 +495,9 @@
             )
         if connection.cancelled:
             self.inbox.put(events.LaunchesCancelled(self.listed.id, tuple(connection.cancelled.values())))
-        if connection.unanswered or connection.probes:
+        had_requests = bool(connection.unanswered or connection.probes)
+        connection.forget_requests()
+        if had_requests:
             await self.inbox.post(events.LinkDown(self.listed.id, connection.number, unsent, reason))
         self.wake.set()
 
@@ -565,6 +581,7 @@
     async def handle_frames(self, connection: Connection, frames: list[host_codec.Frame]) -> None:
         """Posts the engine's events of frames that have arrived together. Raises LinkLostError."""
         now = connection.used_at = anyio.current_time()
+        connection.was_heard = True
         self.reachability.on_message(now)
         connection.awaiting_since, connection.pinged = 0.0, False
         connection.partial_frame_since = now if connection.link.reader.buffer else 0.0
@@ -596,17 +613,13 @@
             connection.partial_frame_since = (connection.partial_frame_since or now) if buffer else 0.0
             if buffer and now - connection.partial_frame_since > PARTIAL_FRAME_TIMEOUT:
                 raise LinkLostError("a frame that does not end")
-            if (
-                connection.awaiting_since
-                and now - connection.awaiting_since > RESPONSE_TIMEOUT * PING_SHARE
-                and not connection.pinged
-            ):
+            if connection.has_awaited(RESPONSE_TIMEOUT * PING_SHARE, now) and not connection.pinged:
                 # A healthy host that accepts a launch only when its job runs may have nothing to send yet.
                 self.ping(connection, now)
-            if connection.is_unanswered(now):
+            if connection.has_awaited(RESPONSE_TIMEOUT, now):
                 # If this process stood still, the reply may have arrived and be unread.
                 await let_readers_run()
-                if connection.is_unanswered(now):
+                if connection.has_awaited(RESPONSE_TIMEOUT, now):
                     raise LinkLostError(f"nothing received for {RESPONSE_TIMEOUT:g} s")
             if len(connection.outbox) > MAX_QUEUE:
                 raise LinkLostError(f"{len(connection.outbox)} messages wait for it")
@@ -746,15 +759,3 @@
         return events.LaunchEnded(
             host, events.LaunchId(INCARNATION, number), RESULT_BY_CAUSE.get(cause, Result.CUT), reason
         )
-
-
-def ping_frame() -> bytes:
-    """A ping that requests no report; it only checks whether the host answers."""
-    return host_codec.encode(Type.PING, bytes(8), host_codec.parameter(Code.CAUSE, b"\x00"))
-
-
-def release_frame(task: bytes) -> bytes:
-    """Cancels a launch, or ends a running job."""
-    return host_codec.encode(
-        Type.RELEASE, task, host_codec.parameter(Code.CAUSE, bytes([owner_codec.NORMAL]))
-    )
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -16,6 +16,7 @@
 from linedeal.platform.bus import BusPoller, BusProtocolError, Feed
 from linedeal.platform.descriptors import DescriptorBudget
 from linedeal.platform.hostlink import INCARNATION, HostLink
+from linedeal.platform.lingering import LingeringConnections
 from linedeal.platform.ownerlink import OwnerServer
 from linedeal.platform.reachability import CheckPacer
 from linedeal.platform.recipients import Recipients
@@ -62,6 +63,7 @@
         self.router = Router(setup.cluster.settings, recipients, budget, withdrawn)
         self.descriptors = DescriptorBudget(setup.sockets)
         self.check_pacer = CheckPacer()
+        self.lingering = LingeringConnections(self.descriptors.budget)
         self.lateness = Lateness()
         self.owners = OwnerServer(
             self.router,
@@ -230,6 +232,7 @@
                 self.connections_per_host,
                 self.descriptors,
                 self.check_pacer,
+                self.lingering,
                 self.router.is_awaited,
                 self.inbox,
                 self.next_number,
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -1,149 +1,30 @@
 """A link of the platform's route on a mock clock: what it concludes when its host falls silent."""
 
-import itertools
 from functools import partial
-from types import SimpleNamespace
 
 import anyio
 import pytest
-import structlog
 import trio
-import trio.testing
 
-from linedeal.engine import effects, events
-from linedeal.interface import Mode
-from linedeal.loop import Inbox
+from linedeal.engine import events
 from linedeal.loop.inbox import MAX_WAITING
-from linedeal.net.memory import pipe
-from linedeal.platform import host_codec
-from linedeal.platform.descriptors import DescriptorBudget
-from linedeal.platform.host_codec import Code, Type
-from linedeal.platform.hostlink import RESPONSE_TIMEOUT, HostLink
+from linedeal.platform.hostlink import RESPONSE_TIMEOUT
 from linedeal.platform.reachability import (
     MAX_CHECKS_AT_ONCE,
     MAX_CHECKS_PER_SECOND,
     QUIET_BEFORE_PING,
     CheckPacer,
 )
-from linedeal.settings.records import Limits
-from tests.platform_fixture import answer, release
+from tests.host_link_fixture import ignore, play, pong, start_jobs
+from tests.platform_fixture import release
 
-CONNECT_TIMEOUT = 0.3  # seconds
 OUTAGE = 6.0  # seconds for which the users' pages let a host be cut off and keep its tasks
 TOLD_WITHIN = 8.0  # seconds after a task's end in which its owner has to be told if the host cannot say so
-ANSWER_TIME = 0.05  # seconds that the host takes for an answer
 TASK = bytes.fromhex("0123456789abcdef")
 # Seconds after the job's start at which the trouble begins: all positions between two messages of the host.
 TROUBLE_STARTS = [10.0 + step * 0.1 for step in range(26)]
 
 
-class SimulatedHost:
-    """A host and the network to it: answers launches and pings, and can be cut off in both directions."""
-
-    def __init__(self, tasks):
-        self.tasks, self.reachable, self.repeats = tasks, anyio.Event(), []
-        self.reachable.set()
-        self.streams = []
-
-    async def connect(self, address):
-        if not self.reachable.is_set():
-            await anyio.sleep_forever()
-        near, far = pipe()
-        self.streams.append(far)
-        for data in self.repeats:
-            await far.send(data)
-        self.repeats.clear()
-        self.tasks.start_soon(self.serve, far)
-        return near
-
-    async def serve(self, stream):
-        reader = host_codec.FrameReader()
-        try:
-            while True:
-                data = await stream.receive()
-                await self.reachable.wait()
-                for frame in reader.feed(data):
-                    await self.reply(stream, frame)
-        except (anyio.EndOfStream, anyio.ClosedResourceError, anyio.BrokenResourceError):
-            self.streams.remove(stream)
-
-    async def reply(self, stream, frame):
-        if frame.type == Type.PING:
-            await stream.send(pong(frame.task))
-        elif frame.type == Type.SETUP:
-            await anyio.sleep(ANSWER_TIME)
-            await stream.send(answer(frame.task))
-
-    def cut_off(self):
-        self.reachable = anyio.Event()
-
-
-async def ignore(stream, frame):
-    pass
-
-
-def pong(task):
-    return host_codec.encode(Type.PONG, task, host_codec.parameter(Code.CAUSE, b"\x01"))
-
-
-class LinkUnderTest:
-    """One host link with its simulated host; `events` has what it reported, each with the time."""
-
-    def __init__(self, tasks, connect_timeout):
-        self.events = []
-        self.host = SimulatedHost(tasks)
-        self.descriptors = DescriptorBudget(256)
-        self.inbox = Inbox(lambda event: self.events.append((anyio.current_time(), event)))
-        self.link = HostLink(
-            events.ListedHost("h1", ("127.0.0.1:5070",), "std", "z", 0, Mode.SERVING, 0, 1e7, 36, 80),
-            self.host,
-            Limits(connect=connect_timeout),
-            15.0,
-            {},
-            lambda: 4,
-            self.descriptors,
-            CheckPacer(),
-            lambda task: True,
-            self.inbox,
-            partial(next, itertools.count(1)),
-            structlog.get_logger(),
-        )
-        tasks.start_soon(self.link.run)
-
-    def launch(self, number, task):
-        job = SimpleNamespace(expiry=anyio.current_time() + 3.0)
-        self.link.launch(effects.SendLaunch("h1", number, job, job.expiry, 0, work=task))
-
-    def adopt(self, number, task):
-        self.link.adopt(effects.Adopt(1, task.hex(), f"j{number}", "h1", number, task))
-
-    def times_of(self, kind):
-        return [at for at, event in self.events if type(event) is kind]
-
-
-def play(scenario, connect_timeout=CONNECT_TIMEOUT):
-    """Runs a scenario on a mock clock, which jumps to the next time at which something happens."""
-
-    async def main():
-        with trio.fail_after(120):
-            async with anyio.create_task_group() as tasks:
-                await scenario(LinkUnderTest(tasks, connect_timeout))
-                tasks.cancel_scope.cancel()
-
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
-
-
-async def start_jobs(under_test, connections):
-    """Has jobs run there, so many that the link opens that number of connections."""
-    numbers = itertools.count(1)
-    while len(under_test.link.connections) < connections:
-        number = next(numbers)
-        under_test.launch(number, number.to_bytes(8))
-        await anyio.sleep(ANSWER_TIME / 10)
-    await anyio.sleep(1.0)
-    assert len(under_test.link.running) >= connections == len(under_test.link.connections)
-
-
 @pytest.mark.parametrize("connections", [1, 2, 4])
 @pytest.mark.parametrize("start", TROUBLE_STARTS)
 def test_host_cut_off_for_six_seconds_keeps_its_jobs(start, connections):
