Add the events of a reader that is cancelled to the inbox instead of dropping them

Cause: a link records all frames of a read, then gives the events to the engine, 64 a step; a reader that was cancelled in between dropped the rest, and the host's repeat was for a job that the link had forgotten. Change: Inbox.deliver adds what is left when it is cancelled.

--- a/linedeal/loop/inbox.py
+++ b/linedeal/loop/inbox.py
@@ -1,5 +1,7 @@
 """The queue in which links leave their events for the engine."""
 
+from collections import deque
+
 import anyio
 
 from linedeal.engine import events
@@ -33,12 +35,29 @@
 
     async def post(self, *received) -> None:
         """Adds events in order. Waits while the inbox is full, and after each quota until a step has handled
-        it.
+        it. If it is cancelled, the events that are left are dropped.
         """
+        await self.add_in_turns(deque(received))
+
+    async def deliver(self, *received) -> None:
+        """As `post`, but if it is cancelled, the events that are left are added at once.
+
+        For events that the sender has recorded as passed on, so that they must not be dropped.
+        """
+        left = deque(received)
+        try:
+            await self.add_in_turns(left)
+        finally:
+            for event in left:
+                self.put(event)
+
+    async def add_in_turns(self, left: deque) -> None:
+        """Takes events off `left` and adds them, a quota for each step."""
         given = 0
-        for event in received:
+        while left:
             if not given:
                 await self.wait_for_space()
+            event = left.popleft()
             self.put(event)
             given += 1
             # guards against a flood on one link, which would make a step long for all others
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -597,7 +597,8 @@
                 connection.useless_frames = 0
             elif frame.type in (Type.ANSWER, Type.RELEASE):
                 connection.useless_frames += 1
-        await self.inbox.post(*received)
+        # This link has recorded them, and takes a repeated one for a frame without effect.
+        await self.inbox.deliver(*received)
         if frame_error is not None:
             raise LinkLostError(f"bad frame: {frame_error}")
         if connection.useless_frames > MAX_USELESS_FRAMES:
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -7,7 +7,8 @@
 import trio
 
 from linedeal.engine import events
-from linedeal.loop.inbox import MAX_WAITING
+from linedeal.loop.inbox import LINK_QUOTA, MAX_WAITING
+from linedeal.platform.host_connection import ping_frame
 from linedeal.platform.hostlink import RESPONSE_TIMEOUT
 from linedeal.platform.reachability import (
     MAX_CHECKS_AT_ONCE,
@@ -176,6 +177,29 @@
     play(scenario)
 
 
+def test_releases_that_were_read_are_not_lost_with_their_connection():
+    # Guards against a reader that is cancelled while it waits for the engine, with ends that it has recorded
+    # and not handed over (review case 9).
+    async def scenario(under_test):
+        await start_jobs(under_test, 1)
+        under_test.inbox.clear()
+        jobs = range(1000, 1000 + 3 * LINK_QUOTA)
+        for number in jobs:
+            under_test.adopt(number, number.to_bytes(8))
+        (stream,) = under_test.host.streams
+        await stream.send(b"".join(release(number.to_bytes(8), 16) for number in jobs))
+        await anyio.sleep(0.1)
+        assert len(under_test.times_of(events.LaunchEnded)) == LINK_QUOTA  # the reader waits for the engine
+        await stream.aclose()
+        (connection,) = under_test.link.connections
+        connection.enqueue(ping_frame())  # the writer finds the connection closed
+        await anyio.sleep(1.0)
+        assert connection not in under_test.link.connections
+        assert len(under_test.times_of(events.LaunchEnded)) == len(jobs)
+
+    play(scenario)
+
+
 def test_tests_of_all_hosts_together_are_limited():
     # Guards against fleets whose size drives up the connections of each controller.
     pacer, taken = CheckPacer(), 0
