Open a connection again also if one that was unused for long is reset under running jobs

Cause: after 9 s without use any end of a connection counted as the host's close of an idle one, and none was opened on which the host could have repeated what was lost; a second loss at the same time took back the decision to open one. Change: an orderly close (LinkClosedError) is told from other ends.

--- a/linedeal/net/base.py
+++ b/linedeal/net/base.py
@@ -14,6 +14,10 @@
     """The link has ended, or the peer sent what the protocol does not allow; the message has the reason."""
 
 
+class LinkClosedError(LinkLostError):
+    """The peer has closed the link in order: everything that it sent has been read."""
+
+
 class FrameError(Exception):
     """Received bytes cannot be decoded; the text is one plain line. The link has to be closed."""
 
@@ -147,7 +151,7 @@
                 self.reader.finish()
             except FrameError as error:
                 raise LinkLostError(str(error)) from None
-            raise LinkLostError("closed by the other side") from None
+            raise LinkClosedError("closed by the other side") from None
         except CONNECTION_ERRORS as error:
             raise LinkLostError(describe_error(error)) from None
 
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -18,6 +18,7 @@
 from linedeal.net import (
     FrameError,
     Link,
+    LinkClosedError,
     LinkLostError,
     Net,
     Stream,
@@ -315,7 +316,7 @@
             return len(self.connections) <= limit and self.retry_at == math.inf
         needed = (
             bool(kept)
-            or (needed or self.reopen or bool(self.running) and not self.connections)
+            or (needed or bool(self.running) and (self.reopen or not self.connections))
             and self.retry_at == math.inf
         )
         return needed and len(self.connections) < limit
@@ -412,29 +413,29 @@
         """Runs a connection until it ends, reports what was on it, and reads what the host still sends."""
         try:
             try:
-                reason = await self.exchange(connection)
+                error = await self.exchange(connection)
                 await self.end_writing(connection)
             finally:
                 connection.closing = True
                 # Only once it has ended for the host may its launches go elsewhere.
                 self.connections.remove(connection)
-            await self.report_lost(connection, reason)
+            await self.report_lost(connection, error)
             await self.linger(connection)
         finally:
             await self.close(connection)
 
-    async def exchange(self, connection: Connection) -> str:
-        """Writes and reads until the connection is lost or to be closed; returns the reason."""
+    async def exchange(self, connection: Connection) -> LinkLostError:
+        """Writes and reads until the connection is lost or to be closed; returns why."""
         try:
             await run_until_link_lost(
                 self.write(connection), self.read(connection), self.check_timeouts(connection)
             )
         except LinkLostError as error:
-            return str(error)
+            return error
         except Exception as error:
             # An error in this program that one host's input triggers ends only that connection.
             self.log.error("fault", where=self.listed.id, trace=traceback.format_exc())
-            return type(error).__name__
+            return LinkLostError(type(error).__name__)
 
     async def end_writing(self, connection: Connection) -> None:
         """Closes a connection for the host, which can still be read if jobs run there.
@@ -472,15 +473,14 @@
             await anyio.sleep(CHECK_INTERVAL)
         raise LinkLostError("no job runs there")
 
-    async def report_lost(self, connection: Connection, reason: str) -> None:
-        """Reports what was on a connection that has ended."""
+    async def report_lost(self, connection: Connection, error: LinkLostError) -> None:
+        """Reports what was on a connection that has ended; `error` says why."""
         for task, number in connection.unanswered.items():
             self.task_by_launch.pop(number, None)
             if number not in connection.unsent:
                 self.unconfirmed[task] = connection.carried[task]
-        self.reopen = (
-            bool(self.running) and anyio.current_time() - connection.used_at < self.idle_timeout * IDLE_SHARE
-        )
+        if self.may_have_lost_frames(connection, error):
+            self.reopen = True
         self.outbox.extendleft(
             effect for effect in reversed(connection.outbox) if isinstance(effect, effects.SendProbe)
         )
@@ -489,7 +489,7 @@
             self.log.info(
                 "launches cut",
                 host=self.listed.id,
-                reason=reason,
+                reason=str(error),
                 out=len(connection.unanswered),
                 unsent=len(unsent),
             )
@@ -498,9 +498,17 @@
         had_requests = bool(connection.unanswered or connection.probes)
         connection.forget_requests()
         if had_requests:
-            await self.inbox.post(events.LinkDown(self.listed.id, connection.number, unsent, reason))
+            await self.inbox.post(events.LinkDown(self.listed.id, connection.number, unsent, str(error)))
         self.wake.set()
 
+    def may_have_lost_frames(self, connection: Connection, error: LinkLostError) -> bool:
+        """Whether the host may have sent something about a running job on a connection that is not read.
+
+        Not if the host has closed a connection that was not used for long: it was idle.
+        """
+        idle = anyio.current_time() - connection.used_at >= self.idle_timeout * IDLE_SHARE
+        return bool(self.running) and not (idle and isinstance(error, LinkClosedError))
+
     async def write(self, connection: Connection) -> None:
         """Writes what is queued. Raises LinkLostError if the host does not read it in time."""
         while True:
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -16,7 +16,7 @@
     QUIET_BEFORE_PING,
     CheckPacer,
 )
-from tests.host_link_fixture import ignore, play, pong, start_jobs
+from tests.host_link_fixture import SimulatedHost, ignore, play, pong, start_jobs
 from tests.platform_fixture import release
 
 OUTAGE = 6.0  # seconds for which the users' pages let a host be cut off and keep its tasks
@@ -200,6 +200,43 @@
     play(scenario)
 
 
+class ResettingHost(SimulatedHost):
+    """A host whose connections end by a reset."""
+
+    async def connect(self, address):
+        near = await super().connect(address)
+        receive = near.receive
+
+        async def receive_until_reset():
+            try:
+                return await receive()
+            except anyio.EndOfStream:
+                raise anyio.BrokenResourceError from None
+
+        near.receive = receive_until_reset
+        return near
+
+
+def test_connection_reset_after_a_quiet_time_is_reopened_despite_a_busy_one():
+    # Guards against a release lost with a connection that was taken for an idle one: the host repeats it on
+    # the next that opens, and none did while another connection was busy.
+    async def scenario(under_test):
+        await start_jobs(under_test, 2)
+        quiet_stream, busy_stream = under_test.host.streams
+        for _ in range(20):
+            await busy_stream.send(pong(bytes(8)))
+            await anyio.sleep(0.5)
+        assert len(under_test.link.connections) == 2
+        under_test.host.repeats.append(release((1).to_bytes(8), 16))
+        await quiet_stream.aclose()
+        for _ in range(2):
+            await busy_stream.send(pong(bytes(8)))
+            await anyio.sleep(0.5)
+        assert len(under_test.times_of(events.LaunchEnded)) == 1
+
+    play(scenario, host_type=ResettingHost)
+
+
 def test_tests_of_all_hosts_together_are_limited():
     # Guards against fleets whose size drives up the connections of each controller.
     pacer, taken = CheckPacer(), 0
