--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -250,6 +250,8 @@
                 return
             late, new = self.lateness.now(), owner.received_at == owner.opened_at
             owner.received_at = anyio.current_time()
+            # Lines have been completed: the time limit of the one that is incomplete now begins anew.
+            owner.partial_line_since = owner.received_at if owner.link.reader.buffer else 0.0
             if owner.first_bytes_at is not None:
                 arrived_at, owner.first_bytes_at = owner.first_bytes_at - late * ACCEPT_ITERATIONS, None
             else:
@@ -374,8 +376,16 @@
                 if useless and self.is_idle(owner):
                     # Also a client that takes back all its jobs and then stays connected.
                     await self.close_if_idle(owner, "it sends nothing of use")
-                elif owner.partial_line_since and now - owner.partial_line_since > FIRST_MESSAGE_TIMEOUT:
-                    self.disconnect(owner, "a line that does not end")
+                elif self.has_stalled_line(owner):
+                    # A late loop may not have read the rest of it yet.
+                    await let_readers_run()
+                    if self.has_stalled_line(owner):
+                        self.disconnect(owner, "a line that does not end")
+
+    def has_stalled_line(self, owner: OwnerLink) -> bool:
+        """Whether a line has been incomplete for too long."""
+        since = owner.partial_line_since
+        return bool(since) and anyio.current_time() - since > FIRST_MESSAGE_TIMEOUT
 
     async def wait_until_closed(self) -> None:
         """Waits for the sockets of disconnected owners to close, a few loop iterations at most.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -25,6 +25,7 @@
     platform_cluster,
     release,
     running_job_count,
+    setup_line,
     unix_ms_ago,
 )
 
@@ -74,6 +75,26 @@
     return script
 
 
+async def test_client_whose_lines_arrive_in_pieces_keeps_its_connection(tmp_path, log, monkeypatch):
+    # Guards against the time limit of an incomplete line counting on from one line to the next: a client on a
+    # slow line, or one that sends much to a busy controller, was disconnected in the middle of valid lines.
+    monkeypatch.setattr(ownerlink, "FIRST_MESSAGE_TIMEOUT", 0.6)
+    monkeypatch.setattr(ownerlink, "CHECK_INTERVAL", 0.02)
+    async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
+        client = await g.client()
+        lines = [setup_line(f"{number:016x}") for number in range(8)]
+        data, middle = b"".join(lines), len(lines[0]) // 2
+        await client.stream.send(data[:middle])
+        for start in range(middle, len(data), len(lines[0])):
+            await anyio.sleep(0.25)
+            await client.stream.send(data[start : start + len(lines[0])])
+        assert await client.wait_for("answer", f"{len(lines) - 1:016x}")
+        assert not client.closed.is_set()
+        await client.stream.send(lines[0][:middle])
+        with anyio.fail_after(3):
+            await client.closed.wait()  # that line does not end
+
+
 async def test_job_from_setup_to_release(tmp_path, log):
     async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
         owner, host = await g.client(), g.hosts["h1"]
