--- a/linedeal/net/__init__.py
+++ b/linedeal/net/__init__.py
@@ -13,6 +13,7 @@
     open_link,
     parse_address,
 )
+from linedeal.net.connect import connect_within
 from linedeal.net.tasks import let_readers_run, run_until_link_lost
 from linedeal.net.tcp import TcpNet
 
@@ -27,6 +28,7 @@
     "NetAttribute",
     "Stream",
     "TcpNet",
+    "connect_within",
     "let_readers_run",
     "open_link",
     "parse_address",
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -22,6 +22,7 @@
     LinkLostError,
     Net,
     Stream,
+    connect_within,
     let_readers_run,
     parse_address,
     run_until_link_lost,
@@ -348,9 +349,9 @@
         began_at = anyio.current_time()
         self.reachability.on_request(began_at)
         try:
-            with anyio.fail_after(self.reachability.attempt_timeout(began_at, timeout)):
-                stream = await self.net.connect(parse_address(self.listed.addresses[0]))
-                return stream
+            timeout = self.reachability.attempt_timeout(began_at, timeout)
+            stream = await connect_within(self.net, parse_address(self.listed.addresses[0]), timeout)
+            return stream
         except TimeoutError:
             raise ConnectFailedError("it does not answer", began_at) from None
         except ValueError as error:
