Read what arrived during a stall before a link of linedeal's own protocol is closed

Nothing is lost there (hosts say what they hold on each new link), but launches that are out count as cut or silent until then.

--- a/linedeal/controller/hostlink.py
+++ b/linedeal/controller/hostlink.py
@@ -12,7 +12,16 @@
 from linedeal.engine import effects, events
 from linedeal.interface import Mode
 from linedeal.loop import Inbox
-from linedeal.net import Address, Link, LinkLostError, Net, open_link, parse_address, run_until_link_lost
+from linedeal.net import (
+    Address,
+    Link,
+    LinkLostError,
+    Net,
+    let_readers_run,
+    open_link,
+    parse_address,
+    run_until_link_lost,
+)
 from linedeal.protocol import VERSION, FrameReader, encode, pb
 from linedeal.settings.records import Limits
 
@@ -292,6 +301,10 @@
             if self.written_at <= self.received_at:
                 continue
             if now - self.written_at > self.limits.link_silent:
+                # If this process stood still, the reply may have arrived and be unread.
+                await let_readers_run()
+                if self.written_at <= self.received_at:
+                    continue
                 raise LinkLostError(f"nothing received for {now - self.received_at:.1f} s")
             if (
                 now - self.written_at > self.limits.link_silent / 2
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,12 +1,16 @@
 """Links to clients, hosts and discovery over real sockets, with scripted peers that misbehave."""
 
+import itertools
 import random
 from contextlib import asynccontextmanager
 from dataclasses import replace
+from functools import partial
 
 import anyio
 import pytest
 import structlog
+import trio
+import trio.testing
 
 from linedeal import interface as api
 from linedeal.client import Client, ConnectionLostError, JobDeclinedError, JobRequest, Owner
@@ -16,6 +20,7 @@
 from linedeal.engine import effects, events
 from linedeal.loop.inbox import Inbox
 from linedeal.net import Link, LinkLostError, TcpNet
+from linedeal.net.memory import pipe
 from linedeal.processes import unwrap
 from linedeal.protocol import FrameReader, encode, frames, pb
 from linedeal.settings.cluster import parse_cluster
@@ -453,6 +458,41 @@
     assert told == [events.LaunchesUnsent("a", (7,))] and not link.outbox
 
 
+def test_reply_that_arrived_during_a_stall_keeps_its_link():
+    # Guards against a link closed for silence though the reply lies unread: this process stood still.
+    near, far = pipe()
+    limits = parse_cluster(CLUSTER).limits
+
+    class Net:
+        async def connect(self, address):
+            return near
+
+    async def main():
+        with trio.fail_after(120):
+            async with anyio.create_task_group() as tasks:
+                listed = events.ListedHost(
+                    "a", ("127.0.0.1:1",), "std", "z", 0, api.Mode.SERVING, 1, 9.0, None, None
+                )
+                numbers = partial(next, itertools.count(1))
+                inbox = Inbox(lambda event: None)
+                link = HostLink(listed, "c", 1, Net(), limits, inbox, numbers, structlog.get_logger())
+                tasks.start_soon(link.run_until_cancelled)
+                link.open()
+                await far.receive()
+                await far.send(encode(pb.Welcome(version=1, name="a", boot=1)))
+                await anyio.sleep(0.01)
+                for _ in range(20):  # which of two tasks runs first after a stall is left to chance
+                    link.probe(effects.SendProbe("a", 1))
+                    await anyio.sleep(0.01)
+                    far.send_nowait(encode(pb.Report(number=1)))
+                    trio.lowlevel.current_clock().jump(2 * limits.link_silent)
+                    await anyio.sleep(0.01)
+                    assert link.up
+                tasks.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 async def test_nothing_is_sent_to_an_address_reassigned_to_another_host(cluster):
     async def script(link, hello):
         await link.send(welcome("another"))
