Build the set-ups of a test of memory before any of them is sent

The test failed once here: clients were disconnected while they sent. Traced: it built 80 MB of set-ups between the sends, in 2 s and more of this process, in which lines half sent stood still; the controller closes such a connection after 2 s, as its page says, and found hosts and bus silent too.

--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -149,6 +149,11 @@
     # once, took the process over its limit.
     clients, lines = 100, 60
     fields = [(f"{number:x}", "1") for number in range(1500)]
+    # Built before any is sent: that takes a second or two, in which a line half sent would not go on.
+    requests = [
+        b"".join(setup_line(f"{number * lines + line:016x}", fields) for line in range(lines))
+        for number in range(clients)
+    ]
     hosts = {f"h{number}": Host() for number in range(4)}
     async with anyio.create_task_group() as tasks:
         bus = Bus()
@@ -160,19 +165,17 @@
         process = await processes.start("n0", bus.address, bus.known(), sockets=1024, memory_mb=MEMORY_MB)
         await process.connect()
 
-        async def send_all(number):
+        async def send_all(data):
             stream = await TcpNet().connect(process.address)
             client = OwnerClient(stream)
             tasks.start_soon(client.read)
-            await stream.send(
-                b"".join(setup_line(f"{number * lines + line:016x}", fields) for line in range(lines))
-            )
+            await stream.send(data)
             with anyio.move_on_after(7):
                 await client.closed.wait()
 
         async with anyio.create_task_group() as senders:
-            for number in range(clients):
-                senders.start_soon(send_all, number)
+            for data in requests:
+                senders.start_soon(send_all, data)
         usual = await processes.client(process)
         await usual.setup("f" * 16, left="2000")
         with anyio.fail_after(2.5):  # placed, or refused since the hosts are full
