Part the launches of a host and its frames from the link; one place for reasons to close

One change with it: a frame that does not end is concluded, as silence is, only after what has arrived meanwhile was read. Tests follow the moved names (link.launches.running).

--- a/linedeal/platform/host_connection.py
+++ b/linedeal/platform/host_connection.py
@@ -49,6 +49,11 @@
         self.outbox.append(effect)
         self.wake.set()
 
+    def forget_carried(self, now: float) -> None:
+        """Forgets the tasks that were sent here and are launched no more, but for unanswered ones."""
+        for task in [t for t, until in self.carried.items() if until <= now and t not in self.unanswered]:
+            del self.carried[task]
+
     def forget_requests(self) -> None:
         """Forgets what a reply was due to: the requests count as lost, and later replies are ignored."""
         self.outbox.clear()
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -13,7 +13,7 @@
 import anyio
 
 from linedeal.engine import effects, events
-from linedeal.interface import Mode, Reason, Result
+from linedeal.interface import Mode
 from linedeal.loop import Inbox
 from linedeal.net import (
     FrameError,
@@ -28,16 +28,15 @@
     run_until_link_lost,
 )
 from linedeal.net.base import CONNECTION_ERRORS, describe_error
-from linedeal.platform import host_codec, owner_codec
+from linedeal.platform import host_codec
 from linedeal.platform.descriptors import DescriptorBudget
 from linedeal.platform.host_codec import Code, Type
 from linedeal.platform.host_connection import Connection, ping_frame, release_frame
+from linedeal.platform.host_launches import HostLaunches
 from linedeal.platform.lingering import LingeringConnections
 from linedeal.platform.reachability import CheckPacer, Reachability
 from linedeal.settings.records import Limits
-from linedeal.wiresettings import METRICS, REASONS
 
-INCARNATION = 1  # always the first: a controller on the platform knows of no earlier run
 MAX_QUEUE = 512  # messages that wait for one host
 CHECK_INTERVAL = 0.25  # seconds between checks of a connection's timeouts
 PARTIAL_FRAME_TIMEOUT = 1.0  # seconds for which a frame may stay incomplete
@@ -50,23 +49,6 @@
 # Answers and releases in a row without effect, such as repeated ones and those for unknown tasks.
 MAX_USELESS_FRAMES = 2000
 IDLE_SHARE = 0.6  # of the time after which hosts close an idle connection, after which it is closed here
-REASON_BY_NAME = dict(
-    zip(
-        ("nc", "nm", "nq", "nh", "ev", "pre", "dr"),
-        (REASONS[number] for number in range(1, 8)),
-        strict=False,
-    )
-)
-NOTE_NAMES = dict(
-    zip(("live", "c", "m", "s", "p"), (METRICS[number] for number in range(1, 6)), strict=False)
-)
-# Causes that a host gives only for a launch that it has not accepted.
-BEFORE_ACCEPTANCE = frozenset((owner_codec.REFUSED, owner_codec.NOT_SENT, owner_codec.FAILED))
-RESULT_BY_CAUSE = {
-    owner_codec.NORMAL: Result.DONE,
-    owner_codec.STOPPED: Result.STOPPED,
-    owner_codec.FAILED: Result.ERROR,
-}
 
 
 class ConnectFailedError(Exception):
@@ -105,9 +87,8 @@
         `is_awaited`: whether the owner of a task still waits for its answer.
         """
         self.listed, self.net, self.limits, self.inbox, self.log = listed, net, limits, inbox, log
-        self.idle_timeout, self.report_names, self.max_connections, self.next_number = (
+        self.idle_timeout, self.max_connections, self.next_number = (
             idle_timeout,
-            report_names,
             max_connections,
             next_number,
         )
@@ -115,13 +96,7 @@
         self.lingering = lingering
         self.outbox: deque = deque()
         self.connections: list[Connection] = []
-        self.task_by_launch: dict[int, bytes] = {}  # of launches that are unanswered or running
-        self.running: dict[bytes, int] = {}  # launches whose jobs run there, by task
-        # Running tasks that are to end, until the host reports that they have ended.
-        self.stopping: dict[bytes, None] = {}
-        # Tasks of launches that ended without a reply, each with the time until which it may be launched
-        # again. What the host sends about one of them may concern the earlier launch.
-        self.unconfirmed: dict[bytes, float] = {}
+        self.launches = HostLaunches(listed.id, report_names)
         self.wake = anyio.Event()
         self.scope = anyio.CancelScope()
         self.opening = False
@@ -147,16 +122,15 @@
         if len(self.outbox) >= MAX_QUEUE:
             self.report_unsent([effect])
             return
-        self.task_by_launch[effect.number] = effect.work[:8]
+        self.launches.task_by_launch[effect.number] = effect.work[:8]
         self.enqueue(effect)
 
     def adopt(self, effect: effects.Adopt) -> None:
         """Notes a job that runs there already, and opens a connection for it."""
-        if not self.running:
+        if not self.launches.running:
             # What failed before the host was known to run a job says nothing about that job.
             self.reachability = Reachability(anyio.current_time())
-        self.task_by_launch[effect.number] = effect.work[:8]
-        self.running[effect.work[:8]] = effect.number
+        self.launches.adopt(effect.number, effect.work[:8])
         self.wake.set()
 
     def probe(self, effect: effects.SendProbe) -> None:
@@ -186,7 +160,7 @@
     def report_unsent(self, launches: list[effects.SendLaunch]) -> None:
         """Notifies the engine that no byte of these launches was written, or will be."""
         for effect in launches:
-            self.task_by_launch.pop(effect.number, None)
+            self.launches.task_by_launch.pop(effect.number, None)
             for connection in self.connections:
                 if effect.number in connection.unsent:
                     connection.unsent.discard(effect.number)
@@ -198,24 +172,24 @@
         """Cancels a launch, or ends a running job."""
         number = effect.launch.number
         self.withhold(number)
-        task = self.task_by_launch.get(number)
+        task = self.launches.task_by_launch.get(number)
         if task is None:
             self.inbox.put(events.LaunchesCancelled(self.listed.id, (number,)))
             return
-        if self.running.get(task) == number:
-            if task not in self.stopping:
-                self.stopping[task] = None
+        if self.launches.running.get(task) == number:
+            if task not in self.launches.stopping:
+                self.launches.stopping[task] = None
                 if self.connections:
                     self.least_busy().enqueue(release_frame(task))
                 else:
                     self.wake.set()
             return
-        del self.task_by_launch[number]
+        del self.launches.task_by_launch[number]
         for connection in self.connections:
             if connection.unanswered.get(task) == number:
                 del connection.unanswered[task]
                 connection.cancelled[task] = number
-                self.unconfirmed[task] = connection.carried[task]
+                self.launches.unconfirmed[task] = connection.carried[task]
                 connection.enqueue(release_frame(task))
                 if connection.awaiting_since:
                     # The host has been silent since the launch: its other launches continue on the
@@ -231,12 +205,10 @@
         If it has ended because its host left the list, it is also ended at whatever listens at that address:
         another host may have come up there, and have accepted it under the name of the one that is gone.
         """
-        task = self.task_by_launch.pop(effect.number, None)
-        if task is not None and self.running.get(task) == effect.number:
-            del self.running[task]
-            self.stopping.pop(task, None)
+        task = self.launches.forget(effect.number)
+        if task is not None and self.listed.mode is Mode.GONE:
             connection = self.least_busy()
-            if self.listed.mode is Mode.GONE and connection is not None:
+            if connection is not None:
                 connection.enqueue(release_frame(task))
 
     def cancel(self) -> None:
@@ -317,7 +289,7 @@
             return len(self.connections) <= limit and self.retry_at == math.inf
         needed = (
             bool(kept)
-            or (needed or bool(self.running) and (self.reopen or not self.connections))
+            or (needed or bool(self.launches.running) and (self.reopen or not self.connections))
             and self.retry_at == math.inf
         )
         return needed and len(self.connections) < limit
@@ -337,7 +309,7 @@
         self.reopen = False
         connection = Connection(self.next_number(), Link(stream, host_codec.FrameReader()), now)
         self.connections.append(connection)
-        for task in self.stopping:
+        for task in self.launches.stopping:
             connection.enqueue(release_frame(task))
         self.tasks.start_soon(self.serve, connection)
 
@@ -374,16 +346,22 @@
         unsent = tuple(e.number for e in self.outbox if isinstance(e, effects.SendLaunch))
         self.outbox.clear()
         for number in unsent:
-            self.task_by_launch.pop(number, None)
+            self.launches.task_by_launch.pop(number, None)
         await self.inbox.post(events.LinkDown(self.listed.id, 0, unsent, reason))
-        if self.running and failure.began_at is not None and self.reachability.is_lost(failure.began_at):
-            self.log.warning("host lost", host=self.listed.id, reason=reason, standing=len(self.running))
+        if (
+            self.launches.running
+            and failure.began_at is not None
+            and self.reachability.is_lost(failure.began_at)
+        ):
+            self.log.warning(
+                "host lost", host=self.listed.id, reason=reason, standing=len(self.launches.running)
+            )
             await self.inbox.post(events.HostLost(self.listed.id))
 
     def may_check(self) -> bool:
         """Whether a connection may be opened as a test; another host may have a gone one's address."""
         busy = self.checking or self.opening
-        return bool(self.running) and not busy and self.listed.mode is not Mode.GONE
+        return bool(self.launches.running) and not busy and self.listed.mode is not Mode.GONE
 
     async def check(self) -> None:
         """Tests a quiet host by a connection, which is closed again after what the host repeats on it.
@@ -444,7 +422,7 @@
         Not if a write is unfinished: what is left of it must not reach the host any more.
         """
         connection.closing = True
-        if self.running and not connection.sending:
+        if self.launches.running and not connection.sending:
             await connection.link.end_writing()
         else:
             await self.close(connection)
@@ -470,16 +448,13 @@
 
     async def wait_until_no_job_runs(self) -> None:
         """Raises LinkLostError once no job runs there."""
-        while self.running:
+        while self.launches.running:
             await anyio.sleep(CHECK_INTERVAL)
         raise LinkLostError("no job runs there")
 
     async def report_lost(self, connection: Connection, error: LinkLostError) -> None:
         """Reports what was on a connection that has ended; `error` says why."""
-        for task, number in connection.unanswered.items():
-            self.task_by_launch.pop(number, None)
-            if number not in connection.unsent:
-                self.unconfirmed[task] = connection.carried[task]
+        self.launches.on_connection_lost(connection)
         if self.may_have_lost_frames(connection, error):
             self.reopen = True
         self.outbox.extendleft(
@@ -508,7 +483,7 @@
         Not if the host has closed a connection that was not used for long: it was idle.
         """
         idle = anyio.current_time() - connection.used_at >= self.idle_timeout * IDLE_SHARE
-        return bool(self.running) and not (idle and isinstance(error, LinkClosedError))
+        return bool(self.launches.running) and not (idle and isinstance(error, LinkClosedError))
 
     async def write(self, connection: Connection) -> None:
         """Writes what is queued. Raises LinkLostError if the host does not read it in time."""
@@ -597,7 +572,7 @@
         received, frame_error = [], None
         for frame in frames:
             try:
-                event = self.handle_frame(connection, frame)
+                event = self.launches.handle_frame(connection, frame)
             except FrameError as error:
                 frame_error = error
                 break
@@ -615,57 +590,60 @@
             raise LinkLostError(f"{connection.useless_frames} answers in a row to no launch")
 
     async def check_timeouts(self, connection: Connection) -> None:
-        """Pings a silent host. Raises LinkLostError if the connection hangs or is no longer needed."""
+        """Tests a quiet host. Raises LinkLostError if the connection hangs or is no longer needed."""
         while True:
             await anyio.sleep(CHECK_INTERVAL)
             now = anyio.current_time()
-            buffer = connection.link.reader.buffer
-            connection.partial_frame_since = (connection.partial_frame_since or now) if buffer else 0.0
-            if buffer and now - connection.partial_frame_since > PARTIAL_FRAME_TIMEOUT:
-                raise LinkLostError("a frame that does not end")
+            self.note_partial_frame(connection, now)
             if connection.has_awaited(RESPONSE_TIMEOUT * PING_SHARE, now) and not connection.pinged:
                 # A healthy host that accepts a launch only when its job runs may have nothing to send yet.
                 self.ping(connection, now)
-            if connection.has_awaited(RESPONSE_TIMEOUT, now):
-                # If this process stood still, the reply may have arrived and be unread.
+            if self.reason_to_close(connection, now):
+                # If this process stood still, what was missing may have arrived and be unread.
                 await let_readers_run()
-                if connection.has_awaited(RESPONSE_TIMEOUT, now):
-                    raise LinkLostError(f"nothing received for {RESPONSE_TIMEOUT:g} s")
-            if len(connection.outbox) > MAX_QUEUE:
-                raise LinkLostError(f"{len(connection.outbox)} messages wait for it")
-            if connection.closing and not connection.unanswered:
-                raise LinkLostError("its last launch was not answered")
-            if (
-                now - connection.used_at > self.idle_timeout * IDLE_SHARE
-                and not connection.unanswered
-                and not self.running
-            ):
-                # While jobs run, the host may be about to report on it that one has ended.
-                raise LinkLostError("idle")
-            if (
-                self.descriptors.waiting_for_host
-                and self.descriptors.full
-                and not connection.unanswered
-                and not self.running
-                and (now - connection.used_at > CHECK_INTERVAL)
-            ):
-                raise LinkLostError("idle, and its descriptor is needed")
-            for tasks in connection.carried, self.unconfirmed:
-                for task in [
-                    task
-                    for task, until in tasks.items()
-                    if until <= now and task not in connection.unanswered
-                ]:
-                    del tasks[task]
-            if (
-                self.running
-                and not connection.pinged
-                and self.reachability.is_ping_due(now, connection.opened_at)
-            ):
+                reason = self.reason_to_close(connection, now)
+                if reason:
+                    raise LinkLostError(reason)
+            connection.forget_carried(now)
+            self.launches.forget_unconfirmed(now, connection.unanswered)
+            if self.is_ping_due(connection, now):
                 self.ping(connection, now)
             if self.may_check() and self.reachability.is_check_due(now) and self.check_pacer.take(now):
                 self.test_host(connection, now)
 
+    def note_partial_frame(self, connection: Connection, now: float) -> None:
+        """Notes since when a frame has been incomplete."""
+        buffer = connection.link.reader.buffer
+        connection.partial_frame_since = (connection.partial_frame_since or now) if buffer else 0.0
+
+    def reason_to_close(self, connection: Connection, now: float) -> str:
+        """Why a connection has to be closed; empty if it is kept.
+
+        While jobs run, one is never closed for being idle: the host may be about to report the end of one.
+        """
+        partial_since, idle_for = connection.partial_frame_since, now - connection.used_at
+        if partial_since and now - partial_since > PARTIAL_FRAME_TIMEOUT:
+            return "a frame that does not end"
+        if connection.has_awaited(RESPONSE_TIMEOUT, now):
+            return f"nothing received for {RESPONSE_TIMEOUT:g} s"
+        if len(connection.outbox) > MAX_QUEUE:
+            return f"{len(connection.outbox)} messages wait for it"
+        if connection.closing and not connection.unanswered:
+            return "its last launch was not answered"
+        if connection.unanswered or self.launches.running:
+            return ""
+        if idle_for > self.idle_timeout * IDLE_SHARE:
+            return "idle"
+        if self.descriptors.waiting_for_host and self.descriptors.full and idle_for > CHECK_INTERVAL:
+            return "idle, and its descriptor is needed"
+        return ""
+
+    def is_ping_due(self, connection: Connection, now: float) -> bool:
+        """Whether a host on which jobs run has been quiet for so long that it has to be pinged there."""
+        if not self.launches.running or connection.pinged:
+            return False
+        return self.reachability.is_ping_due(now, connection.opened_at)
+
     def test_host(self, connection: Connection, now: float) -> None:
         """Begins a test of a quiet host, for which no connection of an owner has to be closed."""
         if not self.descriptors.full:
@@ -680,92 +658,3 @@
         connection.awaiting_since = connection.awaiting_since or now
         self.reachability.on_request(now)
         connection.enqueue(ping_frame())
-
-    # -- frames of the host
-
-    def handle_frame(self, connection: Connection, frame: host_codec.Frame):
-        """Returns the engine's event, or None if there is none. Raises FrameError."""
-        host, task = self.listed.id, frame.task
-        if frame.type == Type.NOTE:
-            number, metric = self.running.get(task), NOTE_NAMES.get(frame.text(Code.NAME))
-            value = host_codec.parse_figure(frame.text(Code.FIGURE)) if metric != "started" else 1.0
-            if number is None or metric is None or value is None:
-                return None
-            return events.MetricReported(host, events.LaunchId(INCARNATION, number), metric, value)
-        if frame.type == Type.PONG:
-            number = connection.probes.pop(task, None)
-            if number is None or frame.cause() != 1:
-                return None
-            figures = frame.figures(Code.REPORT)
-            return events.ProbeReported(
-                host,
-                number,
-                {
-                    self.report_names[name]: value
-                    for name, value in figures.items()
-                    if name in self.report_names
-                },
-            )
-        if (
-            frame.type == Type.ANSWER
-            and task in connection.unanswered
-            and connection.unanswered[task] not in connection.unsent
-        ):
-            description = frame.text(Code.DESCRIPTION)
-            if not description:
-                raise FrameError("an answer without a description")
-            number = connection.unanswered.pop(task)
-            self.running[task] = number
-            return events.Accepted(host, events.LaunchId(INCARNATION, number), description)
-        if frame.type == Type.ANSWER and task in connection.cancelled:
-            return self.accept_despite_cancel(connection, frame)
-        if frame.type == Type.RELEASE:
-            return self.handle_release(connection, frame)
-        if frame.type == Type.PING:
-            connection.enqueue(host_codec.encode(Type.PONG, task, host_codec.parameter(Code.CAUSE, b"\x01")))
-        return None  # repeated frames, unknown tasks and other types are ignored
-
-    def accept_despite_cancel(self, connection: Connection, frame: host_codec.Frame):
-        """Accepts an answer that arrives before its launch's cancellation is written; withdraws that.
-
-        Were the answer ignored, the job would run there until the cancellation arrives, and be launched
-        elsewhere as if it never had.
-        """
-        task, description = frame.task, frame.text(Code.DESCRIPTION)
-        if not description or release_frame(task) not in connection.outbox:
-            return None  # the cancellation is on its way, and ends the job there
-        connection.outbox.remove(release_frame(task))
-        number = connection.cancelled.pop(task)
-        self.task_by_launch[number] = task
-        self.running[task] = number
-        return events.Accepted(
-            self.listed.id, events.LaunchId(INCARNATION, number), description, cancel_withdrawn=True
-        )
-
-    def handle_release(self, connection: Connection, frame: host_codec.Frame):
-        """Returns the event of a refusal, a failed launch or an ended job, if any. Raises FrameError."""
-        host, task, cause = self.listed.id, frame.task, frame.cause()
-        reason = REASON_BY_NAME.get(frame.text(Code.NAME), Reason.UNTOLD)
-        number = connection.unanswered.get(task)
-        ambiguous = task in self.unconfirmed and cause not in BEFORE_ACCEPTANCE
-        if ambiguous and task not in self.stopping and (cause == owner_codec.STOPPED or number is not None):
-            return None  # of the earlier launch, which the host had accepted when its cancellation arrived
-        if number is not None and number not in connection.unsent:
-            del connection.unanswered[task]
-            self.task_by_launch.pop(number, None)
-            launch = events.LaunchId(INCARNATION, number)
-            if cause == owner_codec.REFUSED:
-                return events.Refused(host, launch, reason)
-            if cause == owner_codec.NOT_SENT:
-                return events.LaunchesUnsent(host, (number,))
-            return events.LaunchEnded(
-                host, launch, Result.ERROR if cause == owner_codec.FAILED else Result.CUT, reason
-            )
-        number = self.running.pop(task, None)
-        if number is None:
-            return None
-        self.task_by_launch.pop(number, None)
-        self.stopping.pop(task, None)
-        return events.LaunchEnded(
-            host, events.LaunchId(INCARNATION, number), RESULT_BY_CAUSE.get(cause, Result.CUT), reason
-        )
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -15,7 +15,8 @@
 from linedeal.platform import config
 from linedeal.platform.bus import BusPoller, BusProtocolError, Feed
 from linedeal.platform.descriptors import DescriptorBudget
-from linedeal.platform.hostlink import INCARNATION, HostLink
+from linedeal.platform.host_launches import INCARNATION
+from linedeal.platform.hostlink import HostLink
 from linedeal.platform.lingering import LingeringConnections
 from linedeal.platform.ownerlink import OwnerServer
 from linedeal.platform.reachability import CheckPacer
--- a/tests/host_link_fixture.py
+++ b/tests/host_link_fixture.py
@@ -133,4 +133,4 @@
         under_test.launch(number, number.to_bytes(8))
         await anyio.sleep(ANSWER_TIME / 10)
     await anyio.sleep(1.0)
-    assert len(under_test.link.running) >= connections == len(under_test.link.connections)
+    assert len(under_test.link.launches.running) >= connections == len(under_test.link.connections)
--- a/tests/test_hanging_hosts.py
+++ b/tests/test_hanging_hosts.py
@@ -125,7 +125,7 @@
 
 async def hang_while_jobs_end(under_test, hang, order):
     """Has the host stand still while every second job ends; returns the launches whose ends are due."""
-    ending = list(under_test.link.running.items())[::2]
+    ending = list(under_test.link.launches.running.items())[::2]
     under_test.host.hang()
     await anyio.sleep(hang / 2)
     for task, _ in ending:
@@ -158,7 +158,7 @@
         await start_jobs(under_test, 4)
         under_test.host.notes_every = 0.5
         due = []
-        while len(under_test.link.running) > 1:
+        while len(under_test.link.launches.running) > 1:
             due += await hang_while_jobs_end(under_test, 4.0, order)
             await anyio.sleep(pause)
         await anyio.sleep(RELEASED_WITHIN)
@@ -227,7 +227,7 @@
         under_test.host.hang()
         await anyio.sleep(8.0)
         assert under_test.link.lingering.connections
-        under_test.link.running.clear()
+        under_test.link.launches.running.clear()
         await anyio.sleep(1.0)
         assert not under_test.link.lingering.connections
         assert under_test.descriptors.hosts == len(under_test.link.connections)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -126,7 +126,7 @@
         assert (
             running_job_count(g.service, "h1") == 0
             and not g.service.router.tasks
-            and not g.service.hosts["h1"].task_by_launch
+            and not g.service.hosts["h1"].launches.task_by_launch
         )
 
 
@@ -595,7 +595,7 @@
         assert (
             not g.service.router.tasks
             and not g.service.engine.unanswered
-            and not g.service.hosts["h1"].task_by_launch
+            and not g.service.hosts["h1"].launches.task_by_launch
         )
 
 
