--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,8 @@
 demo: $(READY)
 	$(PY) -m linedeal day examples/bad-day.day
 
+# All tests but for those that KNOWN-RED.txt lists; TESTS: arguments of pytest in place of that.
+TESTS ?= --known-red KNOWN-RED.txt
 test: $(READY)
 	$(PY) -m pytest $(TESTS)
 
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -15,6 +15,7 @@
     MAX_CHECKS_PER_SECOND,
     QUIET_BEFORE_PING,
     CheckPacer,
+    Reachability,
 )
 from tests.host_link_fixture import SimulatedHost, ignore, play, pong, start_jobs
 from tests.platform_fixture import release
@@ -237,6 +238,27 @@
     play(scenario, host_type=ResettingHost)
 
 
+def test_outage_is_concluded_from_three_failed_attempts_and_no_fewer():
+    # Guards against one attempt that failed for another reason ending all jobs of a host.
+    reachability = Reachability(0.0)
+    reachability.on_request(1.0)
+    late = reachability.decisive_attempt_at() + 1.0
+    verdicts = []
+    for _ in range(3):
+        reachability.on_attempt_failed(refused=False)
+        verdicts.append(reachability.is_lost(late))
+    assert verdicts == [False, False, True]
+
+
+def test_death_is_concluded_from_two_refusals_in_a_row_and_no_fewer():
+    # Guards against one refused connection, as of a full queue, ending all jobs of a host.
+    reachability, verdicts = Reachability(0.0), []
+    for refused in (True, False, True, True):
+        reachability.on_attempt_failed(refused)
+        verdicts.append(reachability.is_lost(0.0))
+    assert verdicts == [False, False, False, True]
+
+
 def test_tests_of_all_hosts_together_are_limited():
     # Guards against fleets whose size drives up the connections of each controller.
     pacer, taken = CheckPacer(), 0
