Ask for a cut-off response of the bus again; read the list again as one list

Cause: undecodable JSON counted as missing events; the list was read again from 0, and event 1, a whole list, ended the jobs of all hosts that it does not name. Change: such a response is asked for again from the same event; what is read again from the start is merged into one list.

--- a/linedeal/platform/bus.py
+++ b/linedeal/platform/bus.py
@@ -5,7 +5,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 import anyio
@@ -13,6 +13,7 @@
 import msgspec
 
 from linedeal.engine import events
+from linedeal.interface import Mode
 from linedeal.loop import Inbox
 from linedeal.net import Address, LinkLostError, Net
 from linedeal.net.base import CONNECTION_ERRORS, close_stream, describe_error
@@ -67,29 +68,42 @@
     """The bus sent something that cannot be decoded, or left out events."""
 
 
+class IncompleteResponseError(BusProtocolError):
+    """A response cannot be decoded. Nothing of it was accepted, so the same events are requested again.
+
+    A response without a stated length ends with its connection: that it was cut off shows only here.
+    """
+
+
 BATCH_DECODER = msgspec.json.Decoder(Batch)
 
 
 def decode(data: bytes) -> Batch:
-    """Decodes the body of a response. Raises BusProtocolError."""
+    """Decodes the body of a response. Raises IncompleteResponseError."""
     try:
         return BATCH_DECODER.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError, OverflowError) as error:
-        raise BusProtocolError(str(error)[:200]) from None
+        raise IncompleteResponseError(str(error)[:200]) from None
 
 
 @dataclass(slots=True)
 class Feed:
-    """Accepts batches in order. `offset`: the number of the last event that was accepted."""
+    """Accepts batches in order.
+
+    `offset`: the number of the last event that was accepted. `has_list`: whether a whole list was.
+    """
 
     offset: int = 0
+    has_list: bool = False
 
     def accept(self, batch: Batch, unix_time: float) -> list[events.HostListReceived]:
         """Returns the host lists of the events that are new.
 
-        Raises BusProtocolError if events are missing; the caller then reads again from the start.
+        Raises BusProtocolError if events are missing; the caller then reads again from the start. What is
+        read again becomes one list: the first event alone would end all jobs on hosts that joined later.
         """
         received, requested_from = [], self.offset
+        read_again = requested_from == 0 and self.has_list
         for event in batch.batch:
             if event.offset <= self.offset:
                 continue
@@ -102,7 +116,18 @@
             if requested_from:  # to accept this offset could skip events that are never sent again
                 raise BusProtocolError(f"nothing of the events from {self.offset} to {batch.offset}")
             self.offset = batch.offset  # read from the start, so there is nothing more to read
-        return received
+        self.has_list = self.has_list or any(one.whole for one in received)
+        return merge_lists(received) if read_again else received
+
+
+def merge_lists(lists: list[events.HostListReceived]) -> list[events.HostListReceived]:
+    """The last whole list with the changes that follow it, as one; the same lists if none is whole."""
+    start = max((index for index, one in enumerate(lists) if one.whole), default=None)
+    if start is None:
+        return lists
+    hosts = {host.id: host for one in lists[start:] for host in one.hosts}
+    present = tuple(host for host in hosts.values() if host.mode is not Mode.GONE)
+    return [replace(lists[-1], hosts=present, whole=True)]
 
 
 def host_list(topology: Topology, unix_time: float) -> events.HostListReceived:
@@ -168,7 +193,8 @@
                     self.failures += 1
                     if self.failures == 1:
                         self.log.warning("bus broke off", reason=str(error))
-                    if isinstance(error, BusProtocolError):
+                    reads_again = isinstance(error, BusProtocolError)
+                    if reads_again and not isinstance(error, IncompleteResponseError):
                         self.feed.offset = 0
                 await anyio.sleep(self.backoff())
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -629,6 +629,37 @@
         assert g.bus.calls[:3] == [1, 1, 1]
 
 
+async def test_response_of_the_bus_that_is_cut_off_without_a_stated_length_ends_no_job(tmp_path, log):
+    # Guards against reading the list from the start, whose first event alone knows no host that joined later.
+    cut_off = []
+
+    async def on_call(bus, stream, number):
+        if number == 2 and not cut_off:
+            await bus.changed.wait()
+            cut_off.append(number)
+            await stream.send(
+                b'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{"offset":3,"batch":[{"offset":3,'
+            )
+            await stream.aclose()
+            return True
+
+    joined = Host()
+    async with platform_cluster(tmp_path, log, {"h1": Host()}, on_call=on_call) as g:
+        await g.tasks.start(joined.run)
+        g.hosts["h2"] = joined
+        g.bus.publish(g.server_entry("h2"), g.server_entry("h1", "DRAINING"))
+        await g.wait_until(3, lambda: g.service.feed.offset == 2)
+        owner = await g.client()
+        await owner.setup(A)
+        await owner.wait_for("answer", A)
+        assert joined.running
+        g.bus.publish(g.server_entry("h1", "DELETED"))
+        await g.wait_until(5, lambda: g.service.feed.offset == 3)
+        assert cut_off == [2] and 0 not in g.bus.calls
+        await anyio.sleep(0.3)
+        assert not [line for line in owner.received if line[0] == "release"] and joined.running
+
+
 async def test_reload_changes_the_address_of_the_bus_and_keeps_the_offset(tmp_path, log, log_output):
     async with platform_cluster(tmp_path, log) as g:
         await g.wait_until(2, lambda: g.bus.calls)
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -245,6 +245,26 @@
     )
 
 
+def test_events_that_are_read_again_are_one_list():
+    # Guards against the first event alone, after some were missed: hosts that joined later would be gone.
+    feed, first = bus.Feed(), bus.Batch(1, [topology_event(1, True)])
+    feed.accept(first, 100.0)
+    feed.accept(bus.Batch(2, [topology_event(2, id="h2")]), 100.0)
+    with pytest.raises(bus.BusProtocolError):
+        feed.accept(bus.Batch(5, [topology_event(5, id="h3")]), 100.0)
+    feed.offset = 0
+    events = [
+        topology_event(1, True),
+        topology_event(2, id="h2"),
+        topology_event(3, state="DELETED"),
+        topology_event(4, id="h2", state="DRAINING"),
+        topology_event(5, id="h3"),
+    ]
+    (received,) = feed.accept(bus.Batch(5, events), 100.0)
+    assert received.whole and received.version == 5 and feed.offset == 5
+    assert {host.id: host.mode for host in received.hosts} == {"h2": Mode.DRAINING, "h3": Mode.SERVING}
+
+
 @pytest.mark.parametrize(
     "data", [b"", b"{", b'{"offset":"x"}', b'{"offset":1,"batch":[{"offset":1,"topology":{"servers":[{}]}}]}']
 )
