Pass over a late copy of a refusal once the job runs at that host

Cause: a release with any cause ended a running job. 34 and 102 say that a launch never ran, so about a running job they concern an earlier launch.

--- a/linedeal/platform/host_launches.py
+++ b/linedeal/platform/host_launches.py
@@ -24,6 +24,7 @@
 )
 # Causes that a host gives only for a launch that it has not accepted.
 BEFORE_ACCEPTANCE = frozenset((owner_codec.REFUSED, owner_codec.NOT_SENT, owner_codec.FAILED))
+NEVER_RAN = frozenset((owner_codec.REFUSED, owner_codec.NOT_SENT))
 RESULT_BY_CAUSE = {
     owner_codec.NORMAL: Result.DONE,
     owner_codec.STOPPED: Result.STOPPED,
@@ -149,6 +150,8 @@
             return events.LaunchEnded(
                 host, launch, Result.ERROR if cause == owner_codec.FAILED else Result.CUT, reason
             )
+        if cause in NEVER_RAN:
+            return None  # a late copy about an earlier launch: what runs has been accepted
         number = self.running.pop(task, None)
         if number is None:
             return None
