End a job that was handed over and ended in one write

Cause: the engine adopts a job one step after its hand-over; an end read before that stopped no job.

--- a/linedeal/platform/router.py
+++ b/linedeal/platform/router.py
@@ -161,7 +161,8 @@
         if task.running:  # belongs to no connection, so any may end it
             task.ended_by_owner = True
             self.recipients.on_taken_back(task.client, task.id)
-            return LineResult(events.StopRequested(task.job))
+            # Without a job the engine has not adopted it yet: `is_ended_by_owner` says so when it has.
+            return LineResult(events.StopRequested(task.job) if task.job else None)
         if task.client != client:
             raise UnanswerableError("it cancels a job of another connection")
         self.withdraw(task)
@@ -214,6 +215,10 @@
         self.on_accepted(effect)
         self.recipients.on_handed_over(effect.client, effect.key)
 
+    def is_ended_by_owner(self, task: str) -> bool:
+        """Whether its owner has ended a task that is known."""
+        return task in self.tasks and self.tasks[task].ended_by_owner
+
     def on_declined(self, effect: effects.DeclineJob) -> tuple[int, bytes]:
         """Refuses a job that the engine did not accept."""
         task = self.tasks.get(effect.key)
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -200,6 +200,9 @@
                 if kind is effects.Answer and effect.verdict is effects.Verdict.PLACED and not message[1]:
                     # The owner has disconnected, but the engine counts the job as answered; end it.
                     self.inbox.put(events.StopRequested(effect.job))
+            if kind is effects.Adopt and self.router.is_ended_by_owner(effect.key):
+                # The end came with the hand-over, when the engine knew no job yet.
+                self.inbox.put(events.StopRequested(effect.job))
         elif kind is effects.AddHost:
             self.update_host(effect.host)
         elif kind is effects.RemoveHost:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -509,6 +509,28 @@
         assert (await owner.wait_for("release", A))[2] == 16 and len(owner.received) == 2
 
 
+async def test_job_that_is_handed_over_and_ended_in_one_write_ends_at_its_host(tmp_path, log):
+    # Guards against an end that is read before the engine has adopted the job, and is lost then.
+    host = Host()
+    async with platform_cluster(tmp_path, log, {"h1": host}) as g:
+        host.running.add(bytes.fromhex(A))
+        owner = await g.client()
+        fields = {
+            "class": "web",
+            "left": "4294967",
+            "tenant": "acme",
+            "extras": "cores:1;memory:2;service:s;at:h1",
+        }
+        lines = (
+            {"type": "setup", "id": A, "fields": fields, "sdp": SDP},
+            {"type": "release", "id": A, "fields": {}, "cause": 16},
+        )
+        await owner.stream.send(b"".join(json.dumps(line).encode() + b"\n" for line in lines))
+        await g.wait_until(3, lambda: not host.running)
+        await g.wait_until(3, lambda: not g.service.router.tasks)
+        assert not owner.received and running_job_count(g.service, "h1") == 0
+
+
 async def test_owner_that_names_running_jobs_again_keeps_its_connection(tmp_path, log):
     # Guards against counting such set-ups as invalid: after 21 of them the connection was closed, and the new
     # jobs behind them got no answer.
