End only its connection for a fault that a host's late frame triggers

Cause: lingering connections, new here, were read outside of the guard that other reads have; an error in this program triggered by a frame there would have ended the process. Found by reading the change.

--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -440,11 +440,16 @@
         A host whose process hangs sends the ends of jobs on it before it notices the close. No longer than
         jobs run there, and as `lingering` has room.
         """
+        if not self.launches.running:
+            return
         try:
             with self.lingering.hold(self.listed.id, connection.was_heard):
                 await run_until_link_lost(self.read(connection), self.wait_until_no_job_runs())
         except LinkLostError:
             pass
+        except Exception:
+            # As in `exchange`: what one host's input triggers ends only that connection.
+            self.log.error("fault", where=self.listed.id, trace=traceback.format_exc())
 
     async def wait_until_no_job_runs(self) -> None:
         """Raises LinkLostError once no job runs there."""
--- a/tests/test_hanging_hosts.py
+++ b/tests/test_hanging_hosts.py
@@ -235,6 +235,29 @@
     play(scenario, host_type=HangingHost)
 
 
+def test_fault_that_a_late_frame_triggers_ends_only_its_connection():
+    # Guards against a process that ends because of what a host sends on a connection that is closed already.
+    async def scenario(under_test):
+        await start_jobs(under_test, 2)
+        under_test.host.hang()
+        await anyio.sleep(8.0)
+        assert len(under_test.link.lingering.connections) > 2
+        handle_frame = under_test.link.launches.handle_frame
+
+        def fail_once(connection, frame):
+            under_test.link.launches.handle_frame = handle_frame
+            raise ZeroDivisionError
+
+        under_test.link.launches.handle_frame = fail_once
+        under_test.host.end((1).to_bytes(8))
+        under_test.host.go_on("timers")
+        await anyio.sleep(RELEASED_WITHIN)
+        assert under_test.link.launches.handle_frame is handle_frame
+        assert under_test.descriptors.hosts == len(under_test.link.connections) > 0
+
+    play(scenario, host_type=HangingHost)
+
+
 def test_connections_that_a_host_closes_too_are_freed():
     # Guards against descriptors that tests of a quiet host leave behind.
     async def scenario(under_test):
