--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -444,19 +444,14 @@
             return
         try:
             with self.lingering.hold(self.listed.id, connection.was_heard):
-                await run_until_link_lost(self.read(connection), self.wait_until_no_job_runs())
+                while self.launches.running:
+                    await self.read_until(connection, anyio.current_time() + CHECK_INTERVAL)
         except LinkLostError:
             pass
         except Exception:
             # As in `exchange`: what one host's input triggers ends only that connection.
             self.log.error("fault", where=self.listed.id, trace=traceback.format_exc())
 
-    async def wait_until_no_job_runs(self) -> None:
-        """Raises LinkLostError once no job runs there."""
-        while self.launches.running:
-            await anyio.sleep(CHECK_INTERVAL)
-        raise LinkLostError("no job runs there")
-
     async def report_lost(self, connection: Connection, error: LinkLostError) -> None:
         """Reports what was on a connection that has ended; `error` says why."""
         self.launches.on_connection_lost(connection)
--- a/linedeal/platform/lingering.py
+++ b/linedeal/platform/lingering.py
@@ -48,7 +48,7 @@
 
     def enforce_limits(self) -> None:
         """Ends connections, those of the host with the most first, until the limits are kept."""
-        while self.connections:
+        while len(self.connections) > min(MAX_PER_HOST, self.limit):
             host, count = Counter(one.host for one in self.connections).most_common(1)[0]
             if count <= MAX_PER_HOST and len(self.connections) <= self.limit:
                 return
