--- a/linedeal/platform/bus.py
+++ b/linedeal/platform/bus.py
@@ -68,7 +68,7 @@
     """The bus sent something that cannot be decoded, or left out events."""
 
 
-class IncompleteResponseError(BusProtocolError):
+class IncompleteResponseError(Exception):
     """A response cannot be decoded. Nothing of it was accepted, so the same events are requested again.
 
     A response without a stated length ends with its connection: that it was cut off shows only here.
@@ -193,8 +193,7 @@
                     self.failures += 1
                     if self.failures == 1:
                         self.log.warning("bus broke off", reason=str(error))
-                    reads_again = isinstance(error, BusProtocolError)
-                    if reads_again and not isinstance(error, IncompleteResponseError):
+                    if isinstance(error, BusProtocolError):
                         self.feed.offset = 0
                 await anyio.sleep(self.backoff())
 
@@ -223,6 +222,8 @@
             raise LinkLostError("it does not answer in time") from None
         except h11.ProtocolError as error:
             raise LinkLostError(f"not HTTP: {error}") from None
+        except IncompleteResponseError as error:
+            raise LinkLostError(str(error)) from None
         except CONNECTION_ERRORS as error:
             raise LinkLostError(describe_error(error)) from None
         finally:
--- a/linedeal/platform/host_connection.py
+++ b/linedeal/platform/host_connection.py
@@ -1,6 +1,7 @@
 """The state of one connection to a host, and the frames that are the same for every host."""
 
 from collections import deque
+from collections.abc import Container
 
 import anyio
 
@@ -49,11 +50,6 @@
         self.outbox.append(effect)
         self.wake.set()
 
-    def forget_carried(self, now: float) -> None:
-        """Forgets the tasks that were sent here and are launched no more, but for unanswered ones."""
-        for task in [t for t, until in self.carried.items() if until <= now and t not in self.unanswered]:
-            del self.carried[task]
-
     def forget_requests(self) -> None:
         """Forgets what a reply was due to: the requests count as lost, and later replies are ignored."""
         self.outbox.clear()
@@ -63,6 +59,15 @@
         self.probes.clear()
 
 
+def forget_expired(tasks: dict[bytes, float], unanswered: Container[bytes], now: float) -> None:
+    """Removes the tasks whose time, until which they may be launched again, has passed.
+
+    Those of `unanswered` stay: what the host sends about one of them may still concern an earlier launch.
+    """
+    for task in [task for task, until in tasks.items() if until <= now and task not in unanswered]:
+        del tasks[task]
+
+
 def ping_frame() -> bytes:
     """A ping that requests no report; it only checks whether the host answers."""
     return host_codec.encode(Type.PING, bytes(8), host_codec.parameter(Code.CAUSE, b"\x00"))
--- a/linedeal/platform/host_launches.py
+++ b/linedeal/platform/host_launches.py
@@ -22,9 +22,9 @@
 NOTE_NAMES = dict(
     zip(("live", "c", "m", "s", "p"), (METRICS[number] for number in range(1, 6)), strict=False)
 )
-# Causes that a host gives only for a launch that it has not accepted.
-BEFORE_ACCEPTANCE = frozenset((owner_codec.REFUSED, owner_codec.NOT_SENT, owner_codec.FAILED))
 NEVER_RAN = frozenset((owner_codec.REFUSED, owner_codec.NOT_SENT))
+# Causes that a host gives only for a launch that it has not accepted.
+BEFORE_ACCEPTANCE = NEVER_RAN | {owner_codec.FAILED}
 RESULT_BY_CAUSE = {
     owner_codec.NORMAL: Result.DONE,
     owner_codec.STOPPED: Result.STOPPED,
@@ -67,11 +67,6 @@
             if number not in connection.unsent:
                 self.unconfirmed[task] = connection.carried[task]
 
-    def forget_unconfirmed(self, now: float, unanswered: dict[bytes, int]) -> None:
-        """Forgets the tasks that are launched no more, but for those of `unanswered`."""
-        for task in [t for t, until in self.unconfirmed.items() if until <= now and t not in unanswered]:
-            del self.unconfirmed[task]
-
     def handle_frame(self, connection: Connection, frame: host_codec.Frame):
         """Returns the engine's event, or None if there is none. Raises FrameError."""
         host, task = self.host, frame.task
--- a/linedeal/platform/hostlink.py
+++ b/linedeal/platform/hostlink.py
@@ -31,7 +31,7 @@
 from linedeal.platform import host_codec
 from linedeal.platform.descriptors import DescriptorBudget
 from linedeal.platform.host_codec import Code, Type
-from linedeal.platform.host_connection import Connection, ping_frame, release_frame
+from linedeal.platform.host_connection import Connection, forget_expired, ping_frame, release_frame
 from linedeal.platform.host_launches import HostLaunches
 from linedeal.platform.lingering import LingeringConnections
 from linedeal.platform.reachability import CheckPacer, Reachability
@@ -395,7 +395,6 @@
                 error = await self.exchange(connection)
                 await self.end_writing(connection)
             finally:
-                connection.closing = True
                 # Only once it has ended for the host may its launches go elsewhere.
                 self.connections.remove(connection)
             await self.report_lost(connection, error)
@@ -604,8 +603,8 @@
                 reason = self.reason_to_close(connection, now)
                 if reason:
                     raise LinkLostError(reason)
-            connection.forget_carried(now)
-            self.launches.forget_unconfirmed(now, connection.unanswered)
+            for tasks in (connection.carried, self.launches.unconfirmed):
+                forget_expired(tasks, connection.unanswered, now)
             if self.is_ping_due(connection, now):
                 self.ping(connection, now)
             if self.may_check() and self.reachability.is_check_due(now) and self.check_pacer.take(now):
--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -298,18 +298,16 @@
         try:
             if owner.lines.requests_job(line.id):
                 raise UnanswerableError("two set-ups under one id")
-            self.enqueue(owner, self.router.refuse_unread(line))
+            self.enqueue(owner, self.router.refuse(line.id).reply)
         except UnanswerableError as error:
-            self.counts["closed on"] += 1
-            raise LinkLostError(str(error)) from None
+            raise self.count_unanswerable(error) from None
 
     def handle_line(self, owner: OwnerLink, line: Line, arrived_at: float) -> LineResult:
         """Handles one line: queues the reply and puts the event. Raises LinkLostError."""
         try:
             result = self.router.handle_line(owner.number, line, anyio.current_time() - arrived_at)
         except UnanswerableError as error:
-            self.counts["closed on"] += 1
-            raise LinkLostError(str(error)) from None
+            raise self.count_unanswerable(error) from None
         if result.reply:
             self.enqueue(owner, result.reply)
         if result.event is not None:
@@ -317,6 +315,11 @@
         owner.has_sent_valid = owner.has_sent_valid or bool(result.valid)
         return result
 
+    def count_unanswerable(self, error: UnanswerableError) -> LinkLostError:
+        """Counts a message that cannot be answered; returns the error that closes its connection."""
+        self.counts["closed on"] += 1
+        return LinkLostError(str(error))
+
     async def handle_lines(self, owner: OwnerLink) -> None:
         """Handles lines in the order of their arrival, as fast as the engine takes their events."""
         while True:
--- a/linedeal/platform/router.py
+++ b/linedeal/platform/router.py
@@ -89,18 +89,15 @@
         return self.refuse(line.id)
 
     def refuse(self, task: str) -> LineResult:
-        """Refuses an invalid message. Raises UnanswerableError if its id is that of a known task."""
+        """Refuses a message that is invalid, or for which there is no room.
+
+        Raises UnanswerableError if its id is that of a known task.
+        """
         if task in self.tasks:
             # The owner would mistake this for a refusal of that task's job, which may have been launched.
-            raise UnanswerableError("a message that cannot be read has the id of a known task")
+            raise UnanswerableError("a message that is refused has the id of a known task")
         return LineResult(reply=owner_codec.encode_release(task, owner_codec.REFUSED), valid=False)
 
-    def refuse_unread(self, line: owner_codec.Line) -> bytes:
-        """The reply to a set-up for which there is no room. Raises UnanswerableError if its id is in use."""
-        if line.id in self.tasks:
-            raise UnanswerableError("a second set-up under the id of a known task")
-        return owner_codec.encode_release(line.id, owner_codec.REFUSED)
-
     def handle_setup(self, client: int, line: owner_codec.Line, waited: float) -> LineResult:
         """Handles a job to be placed, or one that a host runs already. Raises UnanswerableError."""
         known = self.tasks.get(line.id)
