Cut every link of a process in the test tools, also those of a duty's owner

The tap takes a link's process from the name in its hello. A controller is c4 to hosts but c4/1 on the links of its orders and of its requests to the council, so a cut of c4 held the ends of its jobs and let its orders pass. Simulated hosts without a tap had the same fault.

Change: duty.owner_name and controller_of in place of three copies; tap and hosts ask controller_of. tests/test_tap.py fails before in 6 of 10, passes now.

--- a/linedeal/duties/duty.py
+++ b/linedeal/duties/duty.py
@@ -27,6 +27,24 @@
     progress: bytes = b""  # state of the work, passed from owner to owner
 
 
+def owner_name(controller: str, life: int) -> str:
+    """Names an incarnation of a controller, as it owns duties and as its links to the council name it.
+
+    >>> owner_name("n1", 3)
+    'n1/3'
+    """
+    return f"{controller}/{life}"
+
+
+def controller_of(owner: str) -> str:
+    """The controller of a name made by `owner_name`; any other name is returned as it is.
+
+    >>> controller_of("n1/3"), controller_of("n1")
+    ('n1', 'n1')
+    """
+    return owner.partition("/")[0]
+
+
 def acquire(duty: Duty, who: str, lease: float, expired: bool) -> Duty:
     """Returns the duty as owned by `who`, with a new token. Raises DutyError if it may not be acquired yet.
 
--- a/linedeal/fleet/council_client.py
+++ b/linedeal/fleet/council_client.py
@@ -7,6 +7,7 @@
 import anyio
 
 from linedeal.council.records import Change, Outcome, Value
+from linedeal.duties.duty import controller_of
 from linedeal.fleet.peer_link import open_to_member
 from linedeal.net import Address, LinkLostError, Net
 from linedeal.protocol import VERSION, encode, pb
@@ -46,7 +47,7 @@
         self.settings, self.name, self.net = settings, name, net
         # Clients are spread over the members. A member's own process tries itself last: a report that only it
         # held would be lost with it, and the loss would go unnoticed.
-        self.own_member = name.partition("/")[0]
+        self.own_member = controller_of(name)
         self.members = sorted(settings.places, key=lambda member: (member == self.own_member, jitter()))
         self.hello = encode(
             pb.Hello(version=VERSION, role=pb.CONTROLLER, name=name, session=settings.id, token=token)
--- a/linedeal/fleet/duty_service.py
+++ b/linedeal/fleet/duty_service.py
@@ -13,7 +13,7 @@
 
 from linedeal.council.records import Change, Outcome, Request, Response
 from linedeal.duties import census
-from linedeal.duties.duty import DutyError
+from linedeal.duties.duty import DutyError, owner_name
 from linedeal.duties.holder import Gained, Holder, HolderState, LeaseTiming, Lost, Saved
 from linedeal.fleet.campaign_duty import CAMPAIGN_DUTY, CampaignDuty
 from linedeal.fleet.council_client import CouncilClient, CouncilRequestError
@@ -182,7 +182,7 @@
             CouncilClient(self.settings, self.name, self.token, self.net, self.jitter) as self.client,
             anyio.create_task_group() as tasks,
         ):
-            who = f"{self.name}/{self.life}"
+            who = owner_name(self.name, self.life)
             works = {CENSUS_DUTY: self.take_census}
             if self.campaign.tool is not None:
                 campaign_duty = CampaignDuty(
--- a/linedeal/lab/operating.py
+++ b/linedeal/lab/operating.py
@@ -73,7 +73,7 @@
         """The name of the controller that owns a duty. Raises DutyError if none does."""
         async with self.council_client() as client:
             reply = operator.require_read(await client.read(f"duty/{duty}", TIMEOUT), duty)
-        owner = duties.decode(reply.value.body).owner.partition("/")[0]
+        owner = duties.controller_of(duties.decode(reply.value.body).owner)
         if not owner:
             raise duties.DutyError(f"nobody owns {duty}")
         return owner
--- a/linedeal/lab/tap.py
+++ b/linedeal/lab/tap.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from linedeal.duties.duty import controller_of
 from linedeal.lab.record import Recorder
 from linedeal.net import Address
 from linedeal.net.base import CONNECTION_ERRORS
@@ -65,7 +66,7 @@
         # a process may have several listeners, named PROCESS/LISTENER: a cut of the process applies to all
         self.process = to.partition("/")[0]
         self.recorder, self.network = recorder, network
-        self.peer = ""  # name of the client, known from its hello on
+        self.peer = ""  # process of the client, known from its hello on
         self.reader: FrameReader | None = FrameReader()
         self.splitter: FrameSplitter | None = None  # set on links between council members, from the hello on
 
@@ -160,7 +161,7 @@
         try:
             for message in self.reader.feed(data):
                 if isinstance(message, pb.Hello):
-                    self.peer = message.name
+                    self.peer = controller_of(message.name)
                     if message.role == pb.MEMBER and not self.reader.rest:
                         self.splitter = FrameSplitter()
                 self.reader = None
--- a/linedeal/standin/host.py
+++ b/linedeal/standin/host.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from linedeal.duties.duty import controller_of
 from linedeal.net import Address, Link, LinkLostError, Net, run_until_link_lost
 from linedeal.net.base import CONNECTION_ERRORS
 from linedeal.protocol import FrameReader, encode, pb
@@ -141,9 +142,9 @@
     async def until_reachable(self, controller: str) -> None:
         """Waits while the controller is partitioned; data is delayed, as if TCP retransmitted it afterwards.
 
-        `controller` may also name an owner or discovery.
+        `controller` may also be the name of a duty's owner, or discovery.
         """
-        while self.partitioned & {controller, "*"}:
+        while self.partitioned & {controller_of(controller), "*"}:
             await self.partition_changed.wait()
 
     async def carry_out(self, order: pb.DutyOrder) -> pb.DutyTold:
