--- a/linedeal/platform/host_connection.py
+++ b/linedeal/platform/host_connection.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from linedeal.engine import effects
 from linedeal.net import Link
 from linedeal.platform import host_codec, owner_codec
 from linedeal.platform.host_codec import Code, Type
@@ -45,6 +46,23 @@
         """Whether anything is queued or being written."""
         return bool(self.outbox) or self.sending
 
+    def note_launch(self, effect: effects.SendLaunch) -> None:
+        """Notes a launch that this connection is to carry."""
+        task = effect.work[:8]
+        self.unanswered[task] = effect.number
+        self.carried[task] = effect.job.expiry
+        self.unsent.add(effect.number)
+
+    def note_heard(self, now: float) -> None:
+        """Notes that the host has sent something, after which no reply is due."""
+        self.used_at, self.was_heard = now, True
+        self.awaiting_since, self.pinged = 0.0, False
+        self.partial_frame_since = now if self.link.reader.buffer else 0.0
+
+    def note_partial_frame(self, now: float) -> None:
+        """Notes since when a frame has been incomplete."""
+        self.partial_frame_since = (self.partial_frame_since or now) if self.link.reader.buffer else 0.0
+
     def enqueue(self, effect) -> None:
         """Queues an effect, or the bytes of a frame."""
         self.outbox.append(effect)
--- a/tests/host_link_fixture.py
+++ b/tests/host_link_fixture.py
@@ -104,10 +104,10 @@
 
     def launch(self, number, task):
         job = SimpleNamespace(expiry=anyio.current_time() + 3.0)
-        self.link.launch(effects.SendLaunch(self.link.listed.id, number, job, job.expiry, 0, work=task))
+        self.link.launch(effects.SendLaunch(self.link.state.id, number, job, job.expiry, 0, work=task))
 
     def adopt(self, number, task):
-        self.link.adopt(effects.Adopt(1, task.hex(), f"j{number}", self.link.listed.id, number, task))
+        self.link.adopt(effects.Adopt(1, task.hex(), f"j{number}", self.link.state.id, number, task))
 
     def times_of(self, kind):
         return [at for at, event in self.events if type(event) is kind]
--- a/tests/test_hanging_hosts.py
+++ b/tests/test_hanging_hosts.py
@@ -198,7 +198,9 @@
     async def scenario(first):
         async with anyio.create_task_group() as tasks:
             others = [
-                LinkUnderTest(tasks, host_type=HangingHost, lingering=first.link.lingering, name=f"h{number}")
+                LinkUnderTest(
+                    tasks, host_type=HangingHost, lingering=first.link.closing.lingering, name=f"h{number}"
+                )
                 for number in range(2, hosts + 1)
             ]
             links, due = [first, *others], {}
@@ -212,7 +214,7 @@
                 for under_test in links:
                     hangs.start_soon(hang, under_test)
                 await anyio.sleep(11.0)
-                assert len(first.link.lingering.connections) == first.link.lingering.limit
+                assert len(first.link.closing.lingering.connections) == first.link.closing.lingering.limit
             await anyio.sleep(RELEASED_WITHIN)
             assert [ends_reported(one) for one in links] == [sorted(due[one]) for one in links]
             tasks.cancel_scope.cancel()
@@ -226,10 +228,10 @@
         await start_jobs(under_test, 2)
         under_test.host.hang()
         await anyio.sleep(8.0)
-        assert under_test.link.lingering.connections
+        assert under_test.link.closing.lingering.connections
         under_test.link.launches.running.clear()
         await anyio.sleep(1.0)
-        assert not under_test.link.lingering.connections
+        assert not under_test.link.closing.lingering.connections
         assert under_test.descriptors.hosts == len(under_test.link.connections)
 
     play(scenario, host_type=HangingHost)
@@ -241,7 +243,7 @@
         await start_jobs(under_test, 2)
         under_test.host.hang()
         await anyio.sleep(8.0)
-        assert len(under_test.link.lingering.connections) > 2
+        assert len(under_test.link.closing.lingering.connections) > 2
         handle_frame = under_test.link.launches.handle_frame
 
         def fail_once(connection, frame):
@@ -264,7 +266,7 @@
         await start_jobs(under_test, 2)
         for _ in range(300):
             await anyio.sleep(0.1)
-            assert len(under_test.link.lingering.connections) <= 1
+            assert len(under_test.link.closing.lingering.connections) <= 1
         assert under_test.descriptors.hosts <= len(under_test.link.connections) + 1
 
     play(scenario, host_type=HangingHost)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,7 +12,15 @@
 import pytest
 
 from linedeal.net import TcpNet
-from linedeal.platform import config, host_codec, hostlink, ownerlink, reachability, service
+from linedeal.platform import (
+    config,
+    host_codec,
+    host_exchange,
+    host_timeouts,
+    ownerlink,
+    reachability,
+    service,
+)
 from linedeal.platform.host_codec import Code, Type
 from linedeal.platform.log import Log
 from tests.platform_fixture import (
@@ -163,8 +171,8 @@
 @pytest.mark.parametrize("well", [True, False])
 async def test_silent_host_is_pinged_before_its_connection_is_closed(tmp_path, log, monkeypatch, well):
     # A host that confirms a launch only when its job runs may be silent for seconds without being at fault.
-    monkeypatch.setattr(hostlink, "RESPONSE_TIMEOUT", 0.6)
-    monkeypatch.setattr(hostlink, "CHECK_INTERVAL", 0.02)
+    monkeypatch.setattr(host_timeouts, "RESPONSE_TIMEOUT", 0.6)
+    monkeypatch.setattr(host_timeouts, "CHECK_INTERVAL", 0.02)
     pinged = anyio.Event()
 
     async def waits(host, stream, frame):
@@ -405,7 +413,7 @@
 
 async def test_running_job_is_released_when_its_machine_vanishes(tmp_path, log, monkeypatch):
     # Guards against waiting for ever: the connection stays open and silent, and a new one cannot be opened.
-    monkeypatch.setattr(hostlink, "RESPONSE_TIMEOUT", 0.3)
+    monkeypatch.setattr(host_timeouts, "RESPONSE_TIMEOUT", 0.3)
     monkeypatch.setattr(reachability, "OUTAGE_TOLERATED", 1.0)
     monkeypatch.setattr(reachability, "QUIET_BEFORE_PING", 0.3)
     vanished = []
@@ -432,7 +440,7 @@
     tmp_path, log, monkeypatch
 ):
     for name, seconds in (("RESPONSE_TIMEOUT", 0.8), ("CHECK_INTERVAL", 0.05)):
-        monkeypatch.setattr(hostlink, name, seconds)
+        monkeypatch.setattr(host_timeouts, name, seconds)
     monkeypatch.setattr(reachability, "QUIET_BEFORE_PING", 0.3)
     silent = []
 
@@ -835,7 +843,7 @@
 async def test_answer_before_the_cancellation_is_written_withdraws_it(tmp_path, log, monkeypatch):
     # Guards against a job that runs at a host without a record of it, and is launched on another: the first
     # one's end would be passed on to no one.
-    monkeypatch.setattr(hostlink, "SEND_TIMEOUT", 30)
+    monkeypatch.setattr(host_exchange, "SEND_TIMEOUT", 30)
     async with platform_cluster(tmp_path, log, {"h1": Host(ignores(Type.SETUP))}) as g:
         owner, host = await g.client(), g.hosts["h1"]
         await owner.setup(A)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -22,7 +22,7 @@
 from linedeal.engine.launches import State
 from linedeal.loop import inbox
 from linedeal.net import Link, TcpNet
-from linedeal.platform import bus, hostlink, service
+from linedeal.platform import bus, host_timeouts, service
 from linedeal.platform.descriptors import DescriptorBudget
 from linedeal.platform.host_codec import Type
 from linedeal.platform.log import Log
@@ -213,7 +213,7 @@
     # After the loop has stalled, launches are cancelled late. What is remembered of a task until its job
     # expires was dropped while the launch was still unanswered, and the resulting exception ended the
     # program.
-    monkeypatch.setattr(hostlink, "CHECK_INTERVAL", 0.001)
+    monkeypatch.setattr(host_timeouts, "CHECK_INTERVAL", 0.001)
     monkeypatch.setattr(engine, "STALL_THRESHOLD", -1.0)
     async with platform_cluster(tmp_path, log, {"h1": Host(silent)}) as g:
         owner = await g.client()
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -9,7 +9,7 @@
 from linedeal.engine import events
 from linedeal.loop.inbox import LINK_QUOTA, MAX_WAITING
 from linedeal.platform.host_connection import ping_frame
-from linedeal.platform.hostlink import RESPONSE_TIMEOUT
+from linedeal.platform.host_timeouts import RESPONSE_TIMEOUT
 from linedeal.platform.reachability import (
     MAX_CHECKS_AT_ONCE,
     MAX_CHECKS_PER_SECOND,
@@ -66,7 +66,7 @@
 def test_jobs_of_a_vanished_host_are_lost_in_time_though_no_check_is_free(start):
     # Guards against a limit on tests, used up by other hosts, that makes the report of a loss late.
     async def scenario(under_test):
-        under_test.link.check_pacer.take = lambda now: False
+        under_test.link.timeouts.check_pacer.take = lambda now: False
         await start_jobs(under_test, 2)
         await anyio.sleep(start)
         under_test.host.cut_off()
@@ -81,7 +81,7 @@
 def test_host_cut_off_keeps_its_jobs_though_no_check_is_free():
     # Guards against a limit on tests, used up by other hosts, that lets an outage of 6 s begin unseen.
     async def scenario(under_test, start):
-        under_test.link.check_pacer.take = lambda now: False
+        under_test.link.timeouts.check_pacer.take = lambda now: False
         await start_jobs(under_test, 1)
         await anyio.sleep(start)
         under_test.host.cut_off()
@@ -125,7 +125,7 @@
         assert under_test.link.connections == connections and len(under_test.host.streams) == 1
         under_test.host.cut_off()
         await anyio.sleep(TOLD_WITHIN)
-        assert under_test.link.reachability.unanswered_since < anyio.current_time()
+        assert under_test.link.state.reachability.unanswered_since < anyio.current_time()
 
     play(scenario)
 
