Deliver the end of each job by one state machine without I/O

Cause: what becomes of the end of a job stood in four places: a flag of the router's task, a flag beside each message of a connection's outbox, a queue of bytes in OwnerServer and the history of connections.

The router, OwnerServer and Service hand it events and queue what it returns; who may be told stays with recipients.py. Two tests read the new names.

--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -8,6 +8,7 @@
 from linedeal.loop import Inbox, Lateness
 from linedeal.net import Address, Link, LinkLostError, Net, NetAttribute, let_readers_run
 from linedeal.platform.descriptors import DescriptorBudget
+from linedeal.platform.end_delivery import EndDeliveries, EndDelivery
 from linedeal.platform.line_queue import LineQueue
 from linedeal.platform.owner_codec import Line, LineReader, drop_unused, is_job_request
 from linedeal.platform.recipients import Recipients
@@ -24,7 +25,6 @@
 # Bytes of one read from which more is likely to be in the socket, such as the end of the connection.
 BACKLOG_BYTES = 16384
 MAX_BACKLOG_TIME = 0.5  # seconds of such reads after which the set-ups that wait are refused
-MAX_WAITING_RELEASES = 4096  # that wait for a connection to be sent on
 # How long bytes may have been unread, in multiples of the loop's lateness: until a connection that came
 # with bytes is accepted; and until one that came without is accepted, set up and read.
 ACCEPT_ITERATIONS = 2
@@ -49,7 +49,7 @@
         self.received: deque[Line] = deque()  # by the last read, and not in `lines` yet
         self.lines_arrived = anyio.Event()
         self.line_handled = anyio.Event()
-        self.outbox: list[tuple[bytes, bool]] = []  # bytes to write, and whether they are about a running job
+        self.outbox: list[bytes] = []
         self.unread = 0  # bytes in the outbox, or being written
         self.writing = False  # what was in the outbox is being written
         self.wake = anyio.Event()
@@ -64,6 +64,7 @@
         self,
         router: Router,
         recipients: Recipients,
+        ends: EndDeliveries,
         budget: RequestBudget,
         net: Net,
         inbox: Inbox,
@@ -73,7 +74,7 @@
         log,
     ):
         """`next_number`: returns the number of the next connection."""
-        self.router, self.recipients, self.budget = router, recipients, budget
+        self.router, self.recipients, self.ends, self.budget = router, recipients, ends, budget
         self.net, self.inbox = net, inbox
         self.descriptors, self.lateness, self.next_number, self.log = (
             descriptors,
@@ -84,7 +85,6 @@
         self.links: dict[int, OwnerLink] = {}
         self.unread = 0  # bytes that are queued for all of them, or being written
         self.closing = 0  # connections that are disconnected but whose sockets are not closed yet
-        self.waiting: deque[bytes] = deque(maxlen=MAX_WAITING_RELEASES)
         self.counts = {"connections": 0, "shed": 0, "refused as read": 0, "no room": 0, "closed on": 0}
 
     async def run(self, address: Address, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
@@ -94,33 +94,26 @@
             tasks.start_soon(self.close_idle_when_crowded)
             await self.net.serve(address, self.handle, capacity=self.descriptors, task_status=task_status)
 
-    def send(self, client: int, data: bytes, about_running: bool = False) -> None:
-        """Sends `data` to a connection; does nothing if it has ended, unless `about_running`.
-
-        A message about a running job then waits for `send_waiting_releases`.
-        """
-        if not client or not data:
-            return
+    def send(self, client: int, data: bytes) -> None:
+        """Sends `data` to a connection; does nothing if it has ended."""
         link = self.links.get(client)
-        if link is not None:
-            self.enqueue(link, data, about_running)
-        elif about_running:
-            self.waiting.append(data)
-
-    def send_waiting_releases(self) -> None:
-        """Sends the messages about running jobs whose connections have ended to the owner chosen for them."""
-        while self.waiting:
-            link = self.links.get(self.recipients.choose())
-            while link is not None and self.waiting and link.number in self.links:
-                self.enqueue(link, self.waiting.popleft(), True)
-            if link is None:
-                return
+        if link is not None and data:
+            self.enqueue(link, data)
+
+    def send_end(self, delivery: EndDelivery) -> None:
+        """Queues the end of a job on the open connection that is to carry it."""
+        self.enqueue(self.links[delivery.connection], delivery.message)
+
+    def send_owed_ends(self) -> None:
+        """Sends the ends of jobs whose connections have closed to the owner chosen for them."""
+        for delivery in self.ends.assign():
+            self.send_end(delivery)
 
-    def enqueue(self, owner: OwnerLink, data: bytes, about_running: bool = False) -> None:
+    def enqueue(self, owner: OwnerLink, data: bytes) -> None:
         """Queues `data` on an open connection; disconnects one that leaves too much unread."""
         if owner.number not in self.links:
             return
-        owner.outbox.append((data, about_running))
+        owner.outbox.append(data)
         self.count_unread(owner, len(data))
         if owner.unread > MAX_UNREAD_BYTES:
             self.disconnect(owner, "it leaves too much unread")
@@ -159,13 +152,14 @@
     def disconnect(self, owner: OwnerLink, reason: str) -> None:
         """Ends a connection and notifies the engine at once, since closing the socket may take a while.
 
-        Lines about running jobs that were read already are still handled, and messages about running jobs
-        that were queued for it go to other connections.
+        Lines about running jobs that were read already are still handled, and the ends of jobs that were
+        queued for it go to other connections.
         """
         if owner.number not in self.links:
             return
         del self.links[owner.number]
         self.recipients.on_disconnected(owner.number)
+        self.ends.on_disconnected(owner.number)
         self.closing += 1
         owner.reason = reason
         self.count_unread(owner, -owner.unread)
@@ -180,9 +174,6 @@
                 except LinkLostError:
                     pass  # it ends in any case
         self.inbox.put(self.router.disconnect(owner.number))
-        for data, about_running in owner.outbox:
-            if about_running:
-                self.send(owner.number, data, about_running)
 
     async def run_until_lost(self, owner: OwnerLink, work) -> None:
         """Runs one of a connection's tasks, and disconnects it if the task raises."""
@@ -368,7 +359,7 @@
         while True:
             await anyio.sleep(CHECK_INTERVAL)
             now = anyio.current_time()
-            self.send_waiting_releases()
+            self.send_owed_ends()
             for owner in list(self.links.values()):
                 owner.partial_line_since = (
                     (owner.partial_line_since or now) if owner.link.reader.buffer else 0.0
@@ -405,10 +396,12 @@
         while True:
             await owner.wake.wait()
             owner.wake = anyio.Event()
-            data, owner.outbox = b"".join(data for data, _ in owner.outbox), []
+            data, owner.outbox = b"".join(owner.outbox), []
+            self.ends.on_write_began(owner.number)
             owner.writing = True
             await owner.link.send(data, SEND_TIMEOUT)
             owner.writing = False
+            self.ends.on_written(owner.number)
             if owner.number in self.links:
                 self.count_unread(owner, -len(data))
 
--- a/linedeal/platform/recipients.py
+++ b/linedeal/platform/recipients.py
@@ -58,6 +58,10 @@
         """Drops the history of a connection."""
         self.histories.pop(connection, None)
 
+    def is_open(self, connection: int) -> bool:
+        """Whether a connection is open."""
+        return connection in self.histories
+
     def on_placed(self, connection: int, task: str) -> None:
         """Notes that a host has accepted a job, and that its owner is told so."""
         if connection in self.histories:
--- a/linedeal/platform/router.py
+++ b/linedeal/platform/router.py
@@ -5,8 +5,8 @@
 from linedeal import interface as api
 from linedeal.engine import effects, events
 from linedeal.platform import host_codec, owner_codec
+from linedeal.platform.end_delivery import EndDeliveries, EndDelivery
 from linedeal.platform.host_codec import Code
-from linedeal.platform.recipients import Recipients
 from linedeal.platform.request_budget import RequestBudget
 from linedeal.platform.withdrawn import WithdrawnTasks
 
@@ -26,8 +26,6 @@
     client: int  # number of the connection on which its set-up arrived
     job: str = ""  # the engine's id of it
     size: int = 0  # bytes that its set-up is counted with until it is answered
-    running: bool = False  # at a host, with its answer given
-    ended_by_owner: bool = False  # its owner gets no release
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,16 +46,16 @@
     def __init__(
         self,
         settings: api.Settings,
-        recipients: Recipients,
+        ends: EndDeliveries,
         budget: RequestBudget,
         withdrawn: WithdrawnTasks,
     ):
         """Starts without tasks; `ready` is reported in the reply to a ping.
 
-        `recipients` is notified of the jobs of each connection; `budget` counts the set-ups without an
-        answer, `withdrawn` has the ids of those that were taken back.
+        `ends` is notified of all running jobs; `budget` counts the set-ups without an answer, `withdrawn` has
+        the ids of those that were taken back.
         """
-        self.settings, self.recipients, self.budget = settings, recipients, budget
+        self.settings, self.ends, self.budget = settings, ends, budget
         self.withdrawn = withdrawn
         self.ready = False
         self.tasks: dict[str, Task] = {}
@@ -66,8 +64,12 @@
 
     def is_awaited(self, task: bytes) -> bool:
         """Whether the owner still waits for an answer, as far as its messages have been read."""
-        known = self.tasks.get(task.hex())
-        return known is not None and not known.running
+        id = task.hex()
+        return id in self.tasks and not self.is_running(id)
+
+    def is_running(self, task: str) -> bool:
+        """Whether a host runs its job, and its answer has been given."""
+        return task in self.ends.running
 
     # -- from owners
 
@@ -100,25 +102,26 @@
 
     def handle_setup(self, client: int, line: owner_codec.Line, waited: float) -> LineResult:
         """Handles a job to be placed, or one that a host runs already. Raises UnanswerableError."""
-        known = self.tasks.get(line.id)
+        known, is_running = self.tasks.get(line.id), self.is_running(line.id)
         try:
             request = owner_codec.parse_request(line, self.settings)
         except owner_codec.InvalidRequestError:
             return self.refuse(line.id)
-        if known is not None and known.running and request.host:
+        if is_running and request.host:
             # Its owner may name, on any connection, what this controller holds already.
             return LineResult()
         if known is not None:
-            if known.client == client and not known.running:
+            if known.client == client and not is_running:
                 # the first set-up with this id stays in effect and is answered
                 return LineResult(valid=False)
             raise UnanswerableError("a second set-up under the id of a known task")
         if line.id in self.withdrawn and not request.host:
             # Its first launch may have run: no second one, and no promise that it has not run.
             return LineResult(reply=owner_codec.encode_release(line.id, owner_codec.FAILED), valid=None)
-        task = self.tasks[line.id] = Task(line.id, client, running=bool(request.host))
+        task = self.tasks[line.id] = Task(line.id, client)
         work = build_work(line.id, request, line.sdp)
         if request.host:
+            self.ends.begin(line.id, client)
             return LineResult(
                 events.RunningJobHandedOver(
                     client,
@@ -155,9 +158,8 @@
         task = self.tasks.get(line.id)
         if task is None:
             return LineResult(valid=None)  # it may have crossed a release from here
-        if task.running:  # belongs to no connection, so any may end it
-            task.ended_by_owner = True
-            self.recipients.on_taken_back(task.client, task.id)
+        if self.is_running(task.id):  # belongs to no connection, so any may end it
+            self.ends.release(task.id)
             # Without a job the engine has not adopted it yet: `is_ended_by_owner` says so when it has.
             return LineResult(events.StopRequested(task.job) if task.job else None)
         if task.client != client:
@@ -169,7 +171,7 @@
         """Whether a line counts although its connection has ended: lines about running jobs do."""
         if line.type == "setup":
             return owner_codec.names_host(line)
-        return line.type == "release" and line.id in self.tasks and self.tasks[line.id].running
+        return line.type == "release" and self.is_running(line.id)
 
     def disconnect(self, client: int) -> events.ClientDisconnected:
         """Forgets the unanswered jobs of a connection that has ended; returns the event for the engine."""
@@ -210,11 +212,11 @@
     def on_adopted(self, effect: effects.Adopt) -> None:
         """Notes the engine's id of a job that was handed over."""
         self.on_accepted(effect)
-        self.recipients.on_handed_over(effect.client, effect.key)
+        self.ends.recipients.on_handed_over(effect.client, effect.key)
 
     def is_ended_by_owner(self, task: str) -> bool:
-        """Whether its owner has ended a task that is known."""
-        return task in self.tasks and self.tasks[task].ended_by_owner
+        """Whether its owner has ended a task that runs."""
+        return self.ends.is_released(task)
 
     def on_declined(self, effect: effects.DeclineJob) -> tuple[int, bytes]:
         """Refuses a job that the engine did not accept."""
@@ -222,6 +224,7 @@
         if task is None or task.client != effect.client:
             return 0, b""
         self.remove(task)
+        self.ends.discard(task.id)
         return task.client, owner_codec.encode_release(task.id, owner_codec.REFUSED)
 
     def on_answer(self, effect: effects.Answer) -> tuple[int, bytes]:
@@ -230,27 +233,25 @@
         if task is None:
             return 0, b""
         if effect.verdict is effects.Verdict.PLACED:
-            task.running = True
             self.mark_answered(task)
-            self.recipients.on_placed(task.client, task.id)
+            self.ends.begin(task.id, task.client)
+            self.ends.recipients.on_placed(task.client, task.id)
             return task.client, owner_codec.encode_answer(task.id, effect.host_reply)
         self.remove(task)
         cause = owner_codec.REFUSED if effect.verdict is effects.Verdict.REJECTED else owner_codec.FAILED
         return task.client, owner_codec.encode_release(task.id, cause)
 
-    def on_ended(self, effect: effects.NotifyEnded) -> tuple[int, bytes]:
-        """Passes on the end of a running job, unless its owner ended it."""
+    def on_ended(self, effect: effects.NotifyEnded) -> EndDelivery | None:
+        """Passes on the end of a running job, unless its owner ended it; returns what is to be queued now."""
         task = self.by_job.get(effect.job)
         if task is None:
-            return 0, b""
+            return None
         self.remove(task)
-        if task.ended_by_owner or effect.result is api.Result.STOPPED:
-            self.recipients.on_taken_back(task.client, task.id)
-            return 0, b""
-        self.recipients.on_ended(task.client, task.id, confirmed=effect.result is api.Result.DONE)
-        return task.client, owner_codec.encode_release(
-            task.id, owner_codec.NORMAL if effect.result is api.Result.DONE else owner_codec.LOST
-        )
+        if effect.result is api.Result.STOPPED:
+            self.ends.release(task.id)
+        is_done = effect.result is api.Result.DONE
+        message = owner_codec.encode_release(task.id, owner_codec.NORMAL if is_done else owner_codec.LOST)
+        return self.ends.end(task.id, message, confirmed=is_done)
 
 
 def build_work(task: str, request: owner_codec.JobRequest, description: str) -> bytes:
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -15,6 +15,7 @@
 from linedeal.platform import config
 from linedeal.platform.bus import BusPoller, BusProtocolError, Feed
 from linedeal.platform.descriptors import DescriptorBudget
+from linedeal.platform.end_delivery import EndDeliveries
 from linedeal.platform.host_launches import INCARNATION
 from linedeal.platform.hostlink import HostLink
 from linedeal.platform.lingering import LingeringConnections
@@ -61,7 +62,8 @@
         recipients = Recipients(anyio.current_time)
         budget = RequestBudget(setup.memory_bytes)
         withdrawn = WithdrawnTasks(anyio.current_time)
-        self.router = Router(setup.cluster.settings, recipients, budget, withdrawn)
+        self.ends = EndDeliveries(recipients, anyio.current_time)
+        self.router = Router(setup.cluster.settings, self.ends, budget, withdrawn)
         self.descriptors = DescriptorBudget(setup.sockets)
         self.check_pacer = CheckPacer()
         self.lingering = LingeringConnections(self.descriptors.budget)
@@ -69,6 +71,7 @@
         self.owners = OwnerServer(
             self.router,
             recipients,
+            self.ends,
             budget,
             self.net,
             self.inbox,
@@ -134,7 +137,7 @@
         """Runs one engine step and carries out its effects."""
         for effect in self.stepper.step():
             self.carry_out(effect)
-        self.owners.send_waiting_releases()
+        self.owners.send_owed_ends()
         self.router.ready = self.engine.ready
 
     async def run_steps(self) -> None:
@@ -196,13 +199,17 @@
         if kind in OWNER_HANDLERS:
             message = OWNER_HANDLERS[kind](self.router, effect)
             if message is not None:
-                self.owners.send(*message, about_running=kind is effects.NotifyEnded)
+                self.owners.send(*message)
                 if kind is effects.Answer and effect.verdict is effects.Verdict.PLACED and not message[1]:
                     # The owner has disconnected, but the engine counts the job as answered; end it.
                     self.inbox.put(events.StopRequested(effect.job))
             if kind is effects.Adopt and self.router.is_ended_by_owner(effect.key):
                 # The end came with the hand-over, when the engine knew no job yet.
                 self.inbox.put(events.StopRequested(effect.job))
+        elif kind is effects.NotifyEnded:
+            delivery = self.router.on_ended(effect)
+            if delivery is not None:
+                self.owners.send_end(delivery)
         elif kind is effects.AddHost:
             self.update_host(effect.host)
         elif kind is effects.RemoveHost:
@@ -256,7 +263,7 @@
             self.lines_logged.clear()
             counts = {
                 name.replace(" ", "_"): value
-                for name, value in (self.engine.counts | self.owners.counts).items()
+                for name, value in (self.engine.counts | self.owners.counts | self.ends.summary()).items()
                 if value
             }
             self.log.info(
@@ -294,7 +301,6 @@
     effects.Adopt: Router.on_adopted,
     effects.DeclineJob: Router.on_declined,
     effects.Answer: Router.on_answer,
-    effects.NotifyEnded: Router.on_ended,
 }
 # The bus is always read, and hosts expect no acknowledgement of an end.
 IGNORED_EFFECTS = (effects.Watch, effects.SendEndSeen)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -209,7 +209,7 @@
         await bad.setup(C, offering="none")
         await bad.wait_for("release", C)
         await host.streams[0].send(release(bytes.fromhex(A), 41, "ev"))
-        await g.wait_until(2, lambda: g.service.owners.waiting)  # no open connection has placed a job yet
+        await g.wait_until(2, lambda: g.service.ends.owed)  # no open connection has placed a job yet
         await second.setup(B)
         await second.wait_for("answer", B)
         assert (await second.wait_for("release", A))[2] == 41
@@ -251,7 +251,7 @@
         await bad.setup(C, at="nowhere")
         await bad.wait_for("release", C)
         await host.streams[0].send(release(bytes.fromhex(A), 16))
-        await g.wait_until(2, lambda: g.service.owners.waiting)
+        await g.wait_until(2, lambda: g.service.ends.owed)
         await second.setup(B)
         assert (await second.wait_for("release", A))[2] == 16
         assert [line[1] for line in bad.received] == [C]
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -653,7 +653,7 @@
         (link,) = g.service.owners.links.values()
         owner.sendall(setup_line(A))
         assert not await g.service.owners.close_if_idle(link, "it sends nothing of use")
-        await g.wait_until(2, lambda: A in g.service.router.tasks and g.service.router.tasks[A].running)
+        await g.wait_until(2, lambda: g.service.router.is_running(A))
 
 
 # -- the event bus
