End with the reason if reading ahead of an accepted connection cannot be stopped

Change: on asyncio a stream without the transport raises RuntimeError, which names what is missing; on trio there is nothing to stop.

--- a/linedeal/net/tcp.py
+++ b/linedeal/net/tcp.py
@@ -1,5 +1,6 @@
 """TCP sockets over anyio."""
 
+import asyncio
 import socket
 
 import anyio
@@ -45,12 +46,26 @@
     """Stops the event loop from reading ahead of `stream.receive`, which resumes it while it waits.
 
     On asyncio, anyio leaves the transport of an accepted connection reading: until the first `receive` that
-    has to wait, it collects without a bound what the peer sends. There is no public way to the transport;
-    trio's streams have none and read only in `receive`.
+    has to wait, it collects without a bound what the peer sends. There is no public way to the transport.
+    Raises RuntimeError if this version of anyio keeps it elsewhere.
     """
+    if not runs_on_asyncio():
+        return  # trio's streams read only in `receive`
     transport = getattr(stream, "_transport", None)
-    if transport is not None:
-        transport.pause_reading()
+    if not hasattr(transport, "pause_reading"):
+        raise RuntimeError(
+            f"reading ahead cannot be stopped: anyio's {type(stream).__name__} has no transport"
+        )
+    transport.pause_reading()
+
+
+def runs_on_asyncio() -> bool:
+    """Whether the current task runs in an asyncio event loop."""
+    try:
+        asyncio.get_running_loop()
+    except RuntimeError:
+        return False
+    return True
 
 
 class AcceptedStream(anyio.abc.ByteStream):
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -9,7 +9,7 @@
 import pytest
 
 from linedeal.net import TcpNet
-from linedeal.net.tcp import RECEIVE_BUFFER_BYTES
+from linedeal.net.tcp import RECEIVE_BUFFER_BYTES, pause_reading
 from linedeal.platform import ownerlink, withdrawn
 from linedeal.platform.host_codec import Type
 from linedeal.platform.line_queue import LineQueue
@@ -83,6 +83,12 @@
     assert written <= begins_with + BOUND, f"{written - begins_with} bytes, at most {BOUND}"
 
 
+async def test_a_stream_whose_reading_cannot_be_paused_is_refused():
+    # Guards against a version of anyio that keeps the transport elsewhere: the bound above would not hold.
+    with pytest.raises(RuntimeError, match="reading ahead cannot be stopped"):
+        pause_reading(object())
+
+
 async def test_host_that_is_not_read_fills_a_bounded_buffer():
     # As above, at the other end of a connection.
     async with anyio.create_task_group() as tasks:
