--- a/linedeal/platform/bus.py
+++ b/linedeal/platform/bus.py
@@ -68,7 +68,7 @@
     """The bus sent something that cannot be decoded, or left out events."""
 
 
-class IncompleteResponseError(Exception):
+class IncompleteResponseError(BusProtocolError):
     """A response cannot be decoded. Nothing of it was accepted, so the same events are requested again.
 
     A response without a stated length ends with its connection: that it was cut off shows only here.
