Judge the end of an irreversible job by when its host sent it, also behind a cut

Cause: bytes from a host are recorded when they are passed on.

Change: the tap records also when held bytes had arrived; the audit takes an end from then on for this claim. An end that arrived after the replacement, or that no cut held, is judged as before: a test for each of the three.

--- a/linedeal/audit/duties.py
+++ b/linedeal/audit/duties.py
@@ -208,7 +208,10 @@
 
 
 def check_irreversible(traffic: Traffic, cluster: Cluster):
-    """Claim "irreversible": no host is replaced while it holds an irreversible job."""
+    """Claim "irreversible": no host is replaced while it holds an irreversible job.
+
+    A job is over once its host has sent so, also if a cut holds the message.
+    """
     offerings = cluster.settings.offerings
     for t, what, who in traffic.marks:
         if what == "replace":
@@ -216,7 +219,7 @@
                 if (
                     launch.host == who
                     and offerings[launch.job.offering].effect is Effect.IRREVERSIBLE
-                    and launch.accepted < t < min(launch.ended, launch.lost)
+                    and launch.accepted < t < min(launch.end_sent, launch.lost)
                     and not ended_unreported(traffic, launch, t)
                 ):
                     yield DutyBreach("irreversible", t, f"{who} was replaced under {launch.job.id}")
--- a/linedeal/audit/traffic.py
+++ b/linedeal/audit/traffic.py
@@ -33,6 +33,7 @@
     started: float = NEVER
     refused: float = NEVER
     ended: float = NEVER
+    end_sent: float = NEVER  # when the host had sent that it ended; before `ended` if a cut held it
     stopped: float = NEVER
     lost: float = NEVER  # first later welcome of another boot of the host
     absent: float = NEVER  # first later welcome of the same boot that does not name it: it never ran
@@ -390,6 +391,7 @@
                     launch.absent = min(launch.absent, entry.t)
             elif item is not None and item.phase == pb.OVER:
                 launch.ended, launch.outcome = min(launch.ended, entry.t), item.outcome
+                launch.end_sent = min(launch.end_sent, sent_at(entry))
             elif item is not None and item.phase in (pb.ACCEPTED, pb.RUNNING):
                 launch.accepted = min(launch.accepted, entry.t)
                 if item.phase == pb.RUNNING:
@@ -476,6 +478,11 @@
 }
 
 
+def sent_at(entry: Entry) -> float:
+    """When the listener had sent what an entry has passed on, as far as the recorder knows."""
+    return entry.arrived or entry.t
+
+
 def first_time_of(event):
     """A handler that records when a launch's host, or its controller, first reported that event.
 
@@ -490,6 +497,7 @@
                 launch.accepted = min(launch.accepted, entry.t)
             elif event == "ended":
                 launch.outcome = message.outcome
+                launch.end_sent = min(launch.end_sent, sent_at(entry))
 
     return handler
 
--- a/linedeal/lab/record.py
+++ b/linedeal/lab/record.py
@@ -23,6 +23,7 @@
     d: str = ""  # data and end: ">" towards the listener, "<" from it
     b: str = ""  # data: base64
     held: bool = False  # data: held by a cut when it arrived, so it may not have been delivered
+    arrived: float = 0.0  # data from the listener that was held: when it arrived; otherwise 0
     what: str = ""  # mark: what was done
     who: str = ""  # mark: to whom
 
@@ -43,9 +44,12 @@
         self.add(Entry(t, "open", self.links, to=to))
         return self.links
 
-    def data(self, t: float, link: int, direction: str, data: bytes, held: bool = False) -> None:
-        """Records bytes; `held` if a cut held them when they arrived."""
-        self.add(Entry(t, "data", link, d=direction, b=base64.b64encode(data).decode(), held=held))
+    def data(
+        self, t: float, link: int, direction: str, data: bytes, held: bool = False, arrived: float = 0.0
+    ) -> None:
+        """Records bytes; `held` if they came during a cut, `arrived` if they were kept since then."""
+        text = base64.b64encode(data).decode()
+        self.add(Entry(t, "data", link, d=direction, b=text, held=held, arrived=arrived))
 
     def ended(self, t: float, link: int, direction: str) -> None:
         """Records that one direction of a link has ended."""
--- a/linedeal/lab/tap.py
+++ b/linedeal/lab/tap.py
@@ -17,6 +17,7 @@
 from linedeal.protocol import FrameError, FrameReader, pb
 from linedeal.protocol.frames import HEADER
 
+HELD_SECONDS = 0.01  # between the arrival of bytes and their passing on, from which they count as held
 MAX_HELD = 4 << 20  # bytes held for one direction of a cut link; if more arrive, the link ends
 
 
@@ -81,8 +82,8 @@
 
     async def forward(self, source, target, direction: str) -> None:
         """Forwards one direction. At its end all that was read is passed on, then the whole link ends."""
-        # a heap of: time at which it may be passed on, sequence number, bytes
-        chunks: list[tuple[float, int, bytes]] = []
+        # a heap of: time at which it may be passed on, sequence number, bytes, time of arrival
+        chunks: list[tuple[float, int, bytes, float]] = []
         sequence = itertools.count()
         wake, ended = anyio.Event(), False
 
@@ -98,10 +99,12 @@
                             continue
                         ends = (self.peer, self.process) if direction == ">" else (self.process, self.peer)
                         await self.network.wait_until_open(*ends)
-                        _, _, data = heapq.heappop(chunks)
+                        _, _, data, arrived = heapq.heappop(chunks)
                         # recorded when passed on: until then the client has not received it
                         if direction == "<":
-                            self.recorder.data(anyio.current_time(), self.link, direction, data)
+                            now = anyio.current_time()
+                            held_since = arrived if now - arrived > HELD_SECONDS else 0.0
+                            self.recorder.data(now, self.link, direction, data, arrived=held_since)
                         await target.send(data)
                     if ended:
                         break
@@ -117,19 +120,15 @@
         try:
             while True:
                 data = await source.receive()
+                now = anyio.current_time()
                 pieces = self.schedule(data) if direction == ">" else [(0.0, data)]
                 if direction == ">":
                     self.read_hello(data)
-                    self.recorder.data(
-                        anyio.current_time(),
-                        self.link,
-                        direction,
-                        data,
-                        (self.peer, self.process) in self.network.cuts,
-                    )
+                    is_cut = (self.peer, self.process) in self.network.cuts
+                    self.recorder.data(now, self.link, direction, data, is_cut)
                 for due, piece in pieces:
-                    heapq.heappush(chunks, (due, next(sequence), piece))
-                if sum(len(piece) for _, _, piece in chunks) > MAX_HELD:
+                    heapq.heappush(chunks, (due, next(sequence), piece, now))
+                if sum(len(piece) for _, _, piece, _ in chunks) > MAX_HELD:
                     break
                 wake.set()
         except CONNECTION_ERRORS:
--- a/tests/test_campaign.py
+++ b/tests/test_campaign.py
@@ -660,6 +660,17 @@
     assert complete_first_host(record).breaches() == {"irreversible"}
 
 
+@pytest.mark.parametrize("arrived, broken", [(4.5, False), (5.5, True), (0.0, True)])
+def test_an_irreversible_job_whose_end_a_cut_holds_is_over_from_when_its_host_sent_it(arrived, broken):
+    # Host a is replaced at 5.0.
+    record = Record()
+    link = start_irreversible_job(record)
+    complete_first_host(record)
+    ended = encode(pb.Ended(launch=LAUNCH, outcome=pb.DONE))
+    record.recorder.data(7.0, link, "<", ended, arrived=arrived)
+    assert record.breaches() == ({"irreversible"} if broken else set())
+
+
 @pytest.mark.parametrize(
     "link_ended, reply, broken",
     [
--- a/tests/test_tap.py
+++ b/tests/test_tap.py
@@ -5,7 +5,7 @@
 
 from linedeal.duties.duty import owner_name
 from linedeal.lab.record import Recorder
-from linedeal.lab.tap import NetworkConditions, ProxiedLink
+from linedeal.lab.tap import HELD_SECONDS, NetworkConditions, ProxiedLink
 from linedeal.net.memory import pipe
 from linedeal.protocol import encode, pb
 from linedeal.standin.host import HostServer
@@ -34,10 +34,13 @@
         await client.send(b"order")
         await server.send(reply)
         await anyio.wait_all_tasks_blocked()
+        arrived_by = anyio.current_time()
         passed_on = [entry.d for entry in recorder.entries if entry.e == "data" and not entry.held]
         assert passed_on == [">"], "more than the hello was passed on"
+        await anyio.sleep(2 * HELD_SECONDS)
         network.heal([("c1", "h1"), ("h1", "c1")])
         assert await server.receive() == b"order" and await client.receive() == reply
+        assert 0 < recorder.entries[-1].arrived <= arrived_by < recorder.entries[-1].t
         tasks.cancel_scope.cancel()
 
 
