Log why owners' connections close, and the ends that waited for one

The line `at work` was cut off before the counts of ends, and nothing said why a connection was closed or how long an end had waited. Change: two short lines every 10 s (`ends told`, `connections closed` by reason), a line for each connection of an owner that is closed here, with what ran on it, and one for each end that waited over 0.25 s, with its task and connection; at most 20 of each kind between two `at work` lines, those left out are counted. Closes have a typed reason.

--- a/linedeal/platform/end_delivery.py
+++ b/linedeal/platform/end_delivery.py
@@ -88,6 +88,7 @@
         self.carried: dict[int, list[EndDelivery]] = {}  # by connection: queued there, or being written
         self.counts: Counter[State] = Counter()  # of the final states
         self.late = 0  # deliveries after MAX_DELIVERY_TIME
+        self.told_elsewhere = 0  # ends that were queued on another connection than their job's
 
     # -- the job
 
@@ -136,6 +137,7 @@
                 return
             while self.owed and self.recipients.is_open(connection):
                 delivery, _ = self.owed.popitem(last=False)
+                self.told_elsewhere += 1
                 yield self.assign_to(delivery, connection)
 
     def assign_to(self, delivery: EndDelivery, connection: int) -> EndDelivery:
@@ -186,6 +188,17 @@
             "ends dropped": self.counts[State.DROPPED],
         }
 
+    def details(self) -> dict[str, int | float]:
+        """What the log has of the ends beside `summary`; `longest_wait` in seconds, of those that wait."""
+        oldest = next(iter(self.owed), None)
+        return {
+            "running": len(self.running),
+            "told": self.counts[State.DELIVERED],
+            "told_elsewhere": self.told_elsewhere,
+            "not_owed": self.counts[State.NOT_OWED],
+            "longest_wait": round(self.clock() - oldest.ended_at, 3) if oldest else 0.0,
+        }
+
     def finish(self, delivery: EndDelivery) -> None:
         """Counts a delivery that is over."""
         self.counts[delivery.state] += 1
--- a/linedeal/platform/log.py
+++ b/linedeal/platform/log.py
@@ -4,6 +4,7 @@
 """
 
 import sys
+from collections import Counter
 from datetime import UTC, datetime
 
 import msgspec
@@ -45,3 +46,24 @@
     def error(self, event: str, **fields) -> None:
         """Writes an event that needs attention."""
         self.write("error", event, fields)
+
+
+class LimitedLog:
+    """Writes to a log at most some lines for each event until `reset`; counts those that it left out."""
+
+    def __init__(self, log, max_lines: int):
+        """`max_lines`: for each event."""
+        self.log, self.max_lines = log, max_lines
+        self.lines: Counter[str] = Counter()
+
+    def write(self, level: str, event: str, **fields) -> None:
+        """Writes an event, unless too many lines of it have been written."""
+        self.lines[event] += 1
+        if self.lines[event] <= self.max_lines:
+            getattr(self.log, level)(event, **fields)
+
+    def reset(self) -> int:
+        """Begins anew; returns how many lines were left out."""
+        left_out = sum(max(0, count - self.max_lines) for count in self.lines.values())
+        self.lines.clear()
+        return left_out
--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -1,15 +1,17 @@
 """Connections of owners: reads, writes and limits. The router decides what their lines mean."""
 
 import traceback
-from collections import deque
+from collections import Counter, deque
 
 import anyio
 
 from linedeal.loop import Inbox, Lateness
-from linedeal.net import Address, Link, LinkLostError, Net, NetAttribute, let_readers_run
+from linedeal.net import Address, Link, LinkClosedError, LinkLostError, Net, NetAttribute, let_readers_run
+from linedeal.platform.close_reason import CloseReason
 from linedeal.platform.descriptors import DescriptorBudget
 from linedeal.platform.end_delivery import EndDeliveries, EndDelivery
 from linedeal.platform.line_queue import LineQueue
+from linedeal.platform.log import LimitedLog
 from linedeal.platform.owner_codec import Line, LineReader, drop_unused, is_job_request
 from linedeal.platform.recipients import Recipients
 from linedeal.platform.request_budget import RequestBudget
@@ -32,6 +34,7 @@
 CLOSE_ITERATIONS = 8  # loop iterations that a close takes at most
 CHECK_INTERVAL = 0.25  # seconds between checks of all connections' timeouts
 FLUSH_INTERVAL = 0.05  # seconds between checks whether all is written
+NOTICEABLE_WAIT = 0.25  # seconds for which an end has waited that is logged
 
 
 class OwnerLink:
@@ -57,6 +60,10 @@
         self.reason = ""  # of its close
 
 
+class UnanswerableLineError(LinkLostError):
+    """The owner sent a message that cannot be answered, or too many that are invalid."""
+
+
 class OwnerServer:
     """Accepts connections of owners and exchanges lines with them."""
 
@@ -72,20 +79,18 @@
         lateness: Lateness,
         next_number,
         log,
+        limited_log: LimitedLog,
     ):
-        """`next_number`: returns the number of the next connection."""
+        """`next_number`: returns the number of the next connection. `limited_log`: for what comes often."""
         self.router, self.recipients, self.ends, self.budget = router, recipients, ends, budget
         self.net, self.inbox = net, inbox
-        self.descriptors, self.lateness, self.next_number, self.log = (
-            descriptors,
-            lateness,
-            next_number,
-            log,
-        )
+        self.descriptors, self.lateness, self.next_number = descriptors, lateness, next_number
+        self.log, self.limited_log = log, limited_log
         self.links: dict[int, OwnerLink] = {}
         self.unread = 0  # bytes that are queued for all of them, or being written
         self.closing = 0  # connections that are disconnected but whose sockets are not closed yet
         self.counts = {"connections": 0, "shed": 0, "refused as read": 0, "no room": 0, "closed on": 0}
+        self.closes: Counter[CloseReason] = Counter()  # connections that have been closed
 
     async def run(self, address: Address, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Serves until cancelled; reports the address that it listens on. Raises OSError if it cannot."""
@@ -107,8 +112,22 @@
     def send_owed_ends(self) -> None:
         """Sends the ends of jobs whose connections have closed to the owner chosen for them."""
         for delivery in self.ends.assign():
+            self.log_waited(delivery)
             self.send_end(delivery)
 
+    def log_waited(self, delivery: EndDelivery) -> None:
+        """Logs an end that is told on another connection than its job's after a noticeable wait."""
+        waited = anyio.current_time() - delivery.ended_at
+        if waited > NOTICEABLE_WAIT:
+            self.limited_log.write(
+                "info",
+                "end waited for a connection",
+                task=delivery.task,
+                waited=round(waited, 3),
+                connection=delivery.connection,
+                open=len(self.links),
+            )
+
     def enqueue(self, owner: OwnerLink, data: bytes) -> None:
         """Queues `data` on an open connection; disconnects one that leaves too much unread."""
         if owner.number not in self.links:
@@ -116,10 +135,10 @@
         owner.outbox.append(data)
         self.count_unread(owner, len(data))
         if owner.unread > MAX_UNREAD_BYTES:
-            self.disconnect(owner, "it leaves too much unread")
+            self.disconnect(owner, CloseReason.UNREAD)
         elif self.unread > MAX_TOTAL_UNREAD_BYTES:
             most_unread = max(self.links.values(), key=lambda link: link.unread)
-            self.disconnect(most_unread, "it leaves the most unread of all")
+            self.disconnect(most_unread, CloseReason.MOST_UNREAD)
         owner.wake.set()
 
     def count_unread(self, owner: OwnerLink, size: int) -> None:
@@ -144,12 +163,12 @@
                     tasks.start_soon(self.run_until_lost, owner, self.handle_lines)
                     await self.run_until_lost(owner, self.read)
         finally:
-            self.disconnect(owner, "the program ends")
+            self.disconnect(owner, CloseReason.SHUTDOWN)
             await owner.link.close()
             self.closing -= 1
             self.log.debug("owner disconnected", reason=owner.reason)
 
-    def disconnect(self, owner: OwnerLink, reason: str) -> None:
+    def disconnect(self, owner: OwnerLink, reason: CloseReason, detail: str = "") -> None:
         """Ends a connection and notifies the engine at once, since closing the socket may take a while.
 
         Lines about running jobs that were read already are still handled, and the ends of jobs that were
@@ -157,11 +176,12 @@
         """
         if owner.number not in self.links:
             return
+        self.log_close(owner, reason, detail)
         del self.links[owner.number]
         self.recipients.on_disconnected(owner.number)
         self.ends.on_disconnected(owner.number)
         self.closing += 1
-        owner.reason = reason
+        owner.reason = detail or reason
         self.count_unread(owner, -owner.unread)
         owner.scope.cancel()
         lines = [(queued.line, queued.arrived_at) for queued in owner.lines.drain()]
@@ -175,16 +195,40 @@
                     pass  # it ends in any case
         self.inbox.put(self.router.disconnect(owner.number))
 
+    def log_close(self, owner: OwnerLink, reason: CloseReason, detail: str) -> None:
+        """Counts the close of a connection; logs one that its owner has not closed and may still need."""
+        self.closes[reason] += 1
+        if reason in (CloseReason.BY_OWNER, CloseReason.SHUTDOWN):
+            return
+        unanswered = len(self.router.unanswered.get(owner.number, ()))
+        if unanswered or self.recipients.is_owner(owner.number):
+            now = anyio.current_time()
+            self.limited_log.write(
+                "info",
+                "owner's connection closed",
+                connection=owner.number,
+                reason=reason,
+                detail=detail,
+                unanswered=unanswered,
+                running=self.recipients.running_jobs(owner.number),
+                open_for=round(now - owner.opened_at, 3),
+                silent_for=round(now - owner.received_at, 3),
+            )
+
     async def run_until_lost(self, owner: OwnerLink, work) -> None:
         """Runs one of a connection's tasks, and disconnects it if the task raises."""
         try:
             await work(owner)
+        except LinkClosedError:
+            self.disconnect(owner, CloseReason.BY_OWNER)
+        except UnanswerableLineError as error:
+            self.disconnect(owner, CloseReason.INVALID, str(error))
         except LinkLostError as error:
-            self.disconnect(owner, str(error))
+            self.disconnect(owner, CloseReason.LOST, str(error))
         except Exception as error:
             # An error in this program that one owner's input triggers ends only that connection.
             self.log.error("fault", where="owner", trace=traceback.format_exc())
-            self.disconnect(owner, type(error).__name__)
+            self.disconnect(owner, CloseReason.FAULT, type(error).__name__)
 
     async def close_idle_when_crowded(self) -> None:
         """Closes idle connections, by `close_rank`, while owners hold more descriptors than they may.
@@ -196,7 +240,7 @@
             idle = [owner for owner in self.links.values() if self.is_idle(owner)]
             if not idle:
                 await anyio.sleep(FLUSH_INTERVAL)
-            elif await self.close_if_idle(min(idle, key=self.close_rank), "too many connections"):
+            elif await self.close_if_idle(min(idle, key=self.close_rank), CloseReason.CROWDED):
                 self.counts["shed"] += 1
                 await self.wait_until_closed()  # its descriptor is in use until the socket is closed
 
@@ -309,7 +353,7 @@
     def count_unanswerable(self, error: UnanswerableError) -> LinkLostError:
         """Counts a message that cannot be answered; returns the error that closes its connection."""
         self.counts["closed on"] += 1
-        return LinkLostError(str(error))
+        return UnanswerableLineError(str(error))
 
     async def handle_lines(self, owner: OwnerLink) -> None:
         """Handles lines in the order of their arrival, as fast as the engine takes their events."""
@@ -352,7 +396,7 @@
         owner.invalid_lines += 1
         self.counts["refused as read"] += 1
         if owner.invalid_lines > MAX_INVALID_LINES:
-            raise LinkLostError(f"{owner.invalid_lines} invalid messages")
+            raise UnanswerableLineError(f"{owner.invalid_lines} invalid messages")
 
     async def check_timeouts(self) -> None:
         """Closes connections that send nothing useful, or begin a line that does not end."""
@@ -369,12 +413,12 @@
                 useless = nothing_valid or silent and not self.recipients.is_owner(owner.number)
                 if useless and self.is_idle(owner):
                     # Also a client that takes back all its jobs and then stays connected.
-                    await self.close_if_idle(owner, "it sends nothing of use")
+                    await self.close_if_idle(owner, CloseReason.USELESS)
                 elif self.has_stalled_line(owner):
                     # A late loop may not have read the rest of it yet.
                     await let_readers_run()
                     if self.has_stalled_line(owner):
-                        self.disconnect(owner, "a line that does not end")
+                        self.disconnect(owner, CloseReason.UNFINISHED_LINE)
 
     def has_stalled_line(self, owner: OwnerLink) -> bool:
         """Whether a line has been incomplete for too long."""
--- a/linedeal/platform/recipients.py
+++ b/linedeal/platform/recipients.py
@@ -91,6 +91,11 @@
         history = self.histories.get(connection)
         return history is not None and bool(history.placed or history.handed_over or history.has_kept_job)
 
+    def running_jobs(self, connection: int) -> int:
+        """How many jobs run that a connection has placed or handed over."""
+        history = self.histories.get(connection)
+        return len(history.placed) + len(history.handed_over) if history is not None else 0
+
     def choose(self) -> int:
         """The connection with the most evidence, the newest of several; 0 if none has any."""
         now = self.clock()
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -19,6 +19,7 @@
 from linedeal.platform.host_launches import INCARNATION
 from linedeal.platform.hostlink import HostLink
 from linedeal.platform.lingering import LingeringConnections
+from linedeal.platform.log import LimitedLog
 from linedeal.platform.ownerlink import OwnerServer
 from linedeal.platform.reachability import CheckPacer
 from linedeal.platform.recipients import Recipients
@@ -42,7 +43,7 @@
         self.setup, self.path, self.net, self.log = setup, path, net, log.bind(controller=setup.name)
         self.hosts: dict[str, HostLink] = {}
         self.shutdown_at = float("inf")  # loop time of the first SIGTERM
-        self.lines_logged: dict[str, int] = {}  # by event, since the last "at work" line
+        self.limited_log = LimitedLog(self.log, MAX_LINES_PER_EVENT)
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Runs until shut down by SIGTERM or SIGINT; reports the address that it listens on."""
@@ -79,6 +80,7 @@
             self.lateness,
             self.next_number,
             self.log,
+            self.limited_log,
         )
         self.feed = Feed()
         self.bus = BusPoller(setup.bus, self.feed, self.net, self.inbox, Random(setup.seed + 2), self.log)
@@ -223,9 +225,7 @@
 
     def log_message(self, effect: effects.LogMessage) -> None:
         """Logs a message of the engine, with a limit for each event; later ones show only in the counts."""
-        count = self.lines_logged[effect.event] = self.lines_logged.get(effect.event, 0) + 1
-        if count <= MAX_LINES_PER_EVENT:
-            getattr(self.log, effect.level)(effect.event, **dict(effect.fields))
+        self.limited_log.write(effect.level, effect.event, **dict(effect.fields))
 
     def update_host(self, listed: events.ListedHost) -> None:
         """Passes on a host's new listing; starts a link to a host that is new."""
@@ -257,10 +257,13 @@
         return self.descriptors.connections_per_host(len(self.hosts), MAX_CONNECTIONS_PER_HOST)
 
     async def log_summaries(self) -> None:
-        """Logs the "at work" line with its counts, and resets the limit of log lines."""
+        """Logs what is counted, in lines that stay short, and resets the limit of log lines."""
         while True:
             await anyio.sleep(SUMMARY_INTERVAL)
-            self.lines_logged.clear()
+            left_out = self.limited_log.reset()
+            self.log.info("ends told", **self.ends.details())
+            closes = {reason.name.lower(): count for reason, count in self.owners.closes.items()}
+            self.log.info("connections closed", lines_left_out=left_out, **closes)
             counts = {
                 name.replace(" ", "_"): value
                 for name, value in (self.engine.counts | self.owners.counts | self.ends.summary()).items()
