--- /dev/null
+++ b/tests/test_told_ends.py
@@ -0,0 +1,109 @@
+"""Owners are told in time that their jobs have ended, though connections close and set-ups are refused."""
+
+import signal
+import time
+from contextlib import contextmanager
+
+import anyio
+import pytest
+
+from linedeal.net import TcpNet
+from linedeal.platform import owner_codec
+from linedeal.platform.host_codec import Type
+from tests.platform_fixture import Host, release
+from tests.test_terms import bus_entry, run_cluster, settings
+
+pytestmark = pytest.mark.anyio
+END_SECONDS = 1.05  # from a host's release until its owner has to be told, with the page's slack
+CLOSED_IDLE_AFTER = 4.0  # seconds after which an owner closes a connection without a task
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class RefusingHost(Host):
+    """Accepts jobs until `is_full`, and ends them when told to."""
+
+    def __init__(self):
+        super().__init__(self.refuse_when_full)
+        self.is_full = False
+
+    async def refuse_when_full(self, host, stream, frame):
+        if frame.type == Type.SETUP and self.is_full:
+            await stream.send(release(frame.task, owner_codec.REFUSED, "nc"))
+            return True
+        return False
+
+    async def end_all(self):
+        """Ends all jobs; returns their tasks."""
+        ended = sorted(self.running)
+        self.running.clear()
+        for task in ended:
+            await self.streams[0].send(release(task, owner_codec.NORMAL))
+        return [task.hex() for task in ended]
+
+
+async def place(owner, numbers, **fields):
+    """Places jobs; returns their tasks."""
+    tasks = [f"{number:016x}" for number in numbers]
+    for task in tasks:
+        await owner.setup(task, **fields)
+    for task in tasks:
+        await owner.wait_for("answer", task)
+    return tasks
+
+
+async def refuse(owner, numbers):
+    """Sends set-ups that have to be refused, one after the other."""
+    for number in numbers:
+        await owner.setup(f"{number:016x}", left="400")
+        await owner.wait_for("release", f"{number:016x}")
+
+
+@contextmanager
+def stopped(process):
+    """Stops a process while the context runs."""
+    process.child.send_signal(signal.SIGSTOP)
+    try:
+        yield
+    finally:
+        process.child.send_signal(signal.SIGCONT)
+
+
+def told(owner, tasks):
+    """Those of the tasks of which the owner has heard that they are over."""
+    return {task for kind, task, *_ in owner.received if kind == "release" and task in tasks}
+
+
+async def wait_until_told(owners, tasks, seconds=END_SECONDS):
+    """Waits until each end was told to some owner; the tasks of which none was told."""
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        missing = set(tasks).difference(*(told(owner, tasks) for owner in owners))
+        if not missing:
+            break
+        await anyio.sleep(0.01)
+    return missing
+
+
+async def test_crowd_of_silent_connections_closes_no_connection_with_running_jobs(tmp_path):
+    host = RefusingHost()
+    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
+        bus.publish(bus_entry("h", host), full=True)
+        process = await processes.start("n0", bus.address, bus.known(), settings(1), sockets=128)
+        owners = [await processes.client(process) for _ in range(5)]
+        for number, owner in enumerate(owners, 1):
+            await place(owner, [number])
+        host.is_full = True
+        crowd = []
+        for _ in range(300):
+            crowd.append(await TcpNet().connect(process.address))
+        await anyio.sleep(0.3)
+        assert not any(owner.closed.is_set() for owner in owners)
+        tasks = await host.end_all()
+        assert len(tasks) == 5 and not await wait_until_told(owners, tasks)
+        fresh = await processes.client(process)  # an owner that comes during the crowd is served
+        host.is_full = False
+        await place(fresh, [20])
