--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -1,7 +1,7 @@
 """Connections of owners: reads, writes and limits. The router decides what their lines mean."""
 
 import traceback
-from collections import Counter, deque
+from collections import Counter
 
 import anyio
 
@@ -13,12 +13,12 @@
 from linedeal.platform.line_queue import LineQueue
 from linedeal.platform.log import LimitedLog
 from linedeal.platform.owner_codec import Line, LineReader, drop_unused, is_job_request
+from linedeal.platform.owner_connection import OwnerConnection
+from linedeal.platform.owner_timeouts import OwnerTimeouts
 from linedeal.platform.recipients import Recipients
 from linedeal.platform.request_budget import RequestBudget
 from linedeal.platform.router import LineResult, Router, UnanswerableError
 
-NEW_CONNECTION_GRACE = 0.5  # seconds for which a new connection ranks last among those to be closed
-FIRST_MESSAGE_TIMEOUT = 2.0  # seconds for a valid message on a new connection, and for a started line to end
 MAX_UNREAD_BYTES = 262144  # that an owner may leave unread
 MAX_TOTAL_UNREAD_BYTES = 8 << 20  # that all owners together may
 SEND_TIMEOUT = 5.0  # seconds for an owner to read what is written
@@ -32,34 +32,11 @@
 ACCEPT_ITERATIONS = 2
 NEW_CONNECTION_ITERATIONS = 4
 CLOSE_ITERATIONS = 8  # loop iterations that a close takes at most
-CHECK_INTERVAL = 0.25  # seconds between checks of all connections' timeouts
 FLUSH_INTERVAL = 0.05  # seconds between checks whether all is written
+OWED_ENDS_INTERVAL = 0.25  # seconds between looks for a connection to be told of the ends that wait
 NOTICEABLE_WAIT = 0.25  # seconds for which an end has waited that is logged
 
 
-class OwnerLink:
-    """The state of one owner's connection."""
-
-    def __init__(self, number: int, link: Link, lines: LineQueue, now: float):
-        """`number`: identifies the connection in the engine and the router."""
-        self.number, self.link, self.opened_at, self.received_at = number, link, now, now
-        self.lines = lines
-        # When the first bytes were read, if that was done at the accept; None once they are handled.
-        self.first_bytes_at: float | None = None
-        self.has_sent_valid = False  # a message that the protocol allows
-        self.invalid_lines = 0
-        self.partial_line_since = 0.0  # 0: no line is incomplete
-        self.received: deque[Line] = deque()  # by the last read, and not in `lines` yet
-        self.lines_arrived = anyio.Event()
-        self.line_handled = anyio.Event()
-        self.outbox: list[bytes] = []
-        self.unread = 0  # bytes in the outbox, or being written
-        self.writing = False  # what was in the outbox is being written
-        self.wake = anyio.Event()
-        self.scope = anyio.CancelScope()
-        self.reason = ""  # of its close
-
-
 class UnanswerableLineError(LinkLostError):
     """The owner sent a message that cannot be answered, or too many that are invalid."""
 
@@ -86,17 +63,21 @@
         self.net, self.inbox = net, inbox
         self.descriptors, self.lateness, self.next_number = descriptors, lateness, next_number
         self.log, self.limited_log = log, limited_log
-        self.links: dict[int, OwnerLink] = {}
+        self.links: dict[int, OwnerConnection] = {}
         self.unread = 0  # bytes that are queued for all of them, or being written
         self.closing = 0  # connections that are disconnected but whose sockets are not closed yet
-        self.counts = {"connections": 0, "shed": 0, "refused as read": 0, "no room": 0, "closed on": 0}
+        self.counts = {"connections": 0, "refused as read": 0, "no room": 0, "closed on": 0}
         self.closes: Counter[CloseReason] = Counter()  # connections that have been closed
+        self.timeouts = OwnerTimeouts(
+            self.links, router, recipients, descriptors, self.disconnect, self.wait_until_closed
+        )
 
     async def run(self, address: Address, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Serves until cancelled; reports the address that it listens on. Raises OSError if it cannot."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self.check_timeouts)
-            tasks.start_soon(self.close_idle_when_crowded)
+            tasks.start_soon(self.timeouts.watch)
+            tasks.start_soon(self.timeouts.close_idle_when_crowded)
+            tasks.start_soon(self.send_owed_ends_regularly)
             await self.net.serve(address, self.handle, capacity=self.descriptors, task_status=task_status)
 
     def send(self, client: int, data: bytes) -> None:
@@ -115,6 +96,12 @@
             self.log_waited(delivery)
             self.send_end(delivery)
 
+    async def send_owed_ends_regularly(self) -> None:
+        """Sends the ends that wait once a connection has come to show an owner, until cancelled."""
+        while True:
+            await anyio.sleep(OWED_ENDS_INTERVAL)
+            self.send_owed_ends()
+
     def log_waited(self, delivery: EndDelivery) -> None:
         """Logs an end that is told on another connection than its job's after a noticeable wait."""
         waited = anyio.current_time() - delivery.ended_at
@@ -128,7 +115,7 @@
                 open=len(self.links),
             )
 
-    def enqueue(self, owner: OwnerLink, data: bytes) -> None:
+    def enqueue(self, owner: OwnerConnection, data: bytes) -> None:
         """Queues `data` on an open connection; disconnects one that leaves too much unread."""
         if owner.number not in self.links:
             return
@@ -141,7 +128,7 @@
             self.disconnect(most_unread, CloseReason.MOST_UNREAD)
         owner.wake.set()
 
-    def count_unread(self, owner: OwnerLink, size: int) -> None:
+    def count_unread(self, owner: OwnerConnection, size: int) -> None:
         """Counts bytes that are queued for an open connection; a negative size: that have been written."""
         owner.unread += size
         self.unread += size
@@ -150,7 +137,7 @@
         """Serves one connection until it ends."""
         number = self.next_number()
         lines = LineQueue(number, self.budget)
-        owner = OwnerLink(number, Link(stream, LineReader()), lines, anyio.current_time())
+        owner = OwnerConnection(number, Link(stream, LineReader()), lines, anyio.current_time())
         owner.first_bytes_at = stream.extra(NetAttribute.received_at, None)
         self.links[owner.number] = owner
         self.recipients.on_connected(owner.number)
@@ -168,7 +155,7 @@
             self.closing -= 1
             self.log.debug("owner disconnected", reason=owner.reason)
 
-    def disconnect(self, owner: OwnerLink, reason: CloseReason, detail: str = "") -> None:
+    def disconnect(self, owner: OwnerConnection, reason: CloseReason, detail: str = "") -> None:
         """Ends a connection and notifies the engine at once, since closing the socket may take a while.
 
         Lines about running jobs that were read already are still handled, and the ends of jobs that were
@@ -195,7 +182,7 @@
                     pass  # it ends in any case
         self.inbox.put(self.router.disconnect(owner.number))
 
-    def log_close(self, owner: OwnerLink, reason: CloseReason, detail: str) -> None:
+    def log_close(self, owner: OwnerConnection, reason: CloseReason, detail: str) -> None:
         """Counts the close of a connection; logs one that its owner has not closed and may still need."""
         self.closes[reason] += 1
         if reason in (CloseReason.BY_OWNER, CloseReason.SHUTDOWN):
@@ -215,7 +202,7 @@
                 silent_for=round(now - owner.received_at, 3),
             )
 
-    async def run_until_lost(self, owner: OwnerLink, work) -> None:
+    async def run_until_lost(self, owner: OwnerConnection, work) -> None:
         """Runs one of a connection's tasks, and disconnects it if the task raises."""
         try:
             await work(owner)
@@ -230,52 +217,7 @@
             self.log.error("fault", where="owner", trace=traceback.format_exc())
             self.disconnect(owner, CloseReason.FAULT, type(error).__name__)
 
-    async def close_idle_when_crowded(self) -> None:
-        """Closes idle connections, by `close_rank`, while owners hold more descriptors than they may.
-
-        Guards against connections that use up the descriptors. One with an unanswered job is never closed.
-        """
-        while True:
-            await self.descriptors.wait_until_must_close_idle()
-            idle = [owner for owner in self.links.values() if self.is_idle(owner)]
-            if not idle:
-                await anyio.sleep(FLUSH_INTERVAL)
-            elif await self.close_if_idle(min(idle, key=self.close_rank), CloseReason.CROWDED):
-                self.counts["shed"] += 1
-                await self.wait_until_closed()  # its descriptor is in use until the socket is closed
-
-    def is_idle(self, owner: OwnerLink) -> bool:
-        """Whether it may be closed: it has no unanswered job and no unhandled line."""
-        return (
-            owner.number not in self.router.unanswered
-            and not (owner.lines or owner.received)
-            and owner.number in self.links
-        )
-
-    def close_rank(self, owner: OwnerLink) -> tuple:
-        """The order in which idle connections are closed, lowest first.
-
-        First those without a valid message, then those that are not known to be an owner's, then owners',
-        and last new ones; among equals the one that has been silent for longest.
-        """
-        new = not owner.has_sent_valid and anyio.current_time() - owner.opened_at <= NEW_CONNECTION_GRACE
-        known = int(owner.has_sent_valid) + int(self.recipients.is_owner(owner.number))
-        return 3 if new else known, owner.received_at
-
-    async def close_if_idle(self, owner: OwnerLink, reason: str) -> bool:
-        """Closes an idle connection; returns False if it has data in its socket, which is read first.
-
-        An owner sends a set-up again only if it was sent just before the close; a late loop may have left one
-        unread for longer.
-        """
-        received_at = owner.received_at
-        await let_readers_run()
-        if owner.received_at != received_at or not self.is_idle(owner):
-            return False
-        self.disconnect(owner, reason)
-        return True
-
-    async def read(self, owner: OwnerLink) -> None:
+    async def read(self, owner: OwnerConnection) -> None:
         """Reads lines, without waiting for earlier ones to be handled: a disconnect may follow them."""
         while True:
             lines = await owner.link.receive_all()
@@ -299,7 +241,7 @@
                     owner.received.popleft()
             owner.lines_arrived.set()
 
-    async def receive_line(self, owner: OwnerLink, line: Line, arrived_at: float) -> None:
+    async def receive_line(self, owner: OwnerConnection, line: Line, arrived_at: float) -> None:
         """Queues a line, or handles it at once. Raises LinkLostError.
 
         Never waits for room but with lines about running jobs, which count whatever follows them: a
@@ -320,14 +262,14 @@
         elif self.handle_line(owner, line, arrived_at).valid is False:
             self.count_invalid(owner)
 
-    async def wait_for_room(self, owner: OwnerLink, line: Line) -> None:
+    async def wait_for_room(self, owner: OwnerConnection, line: Line) -> None:
         """Waits until there is room for a line, or it would be the only one of its connection."""
         owner.lines_arrived.set()
         while owner.lines and not owner.lines.has_room(line):
             owner.line_handled = anyio.Event()
             await owner.line_handled.wait()
 
-    def refuse_unread(self, owner: OwnerLink, line: Line) -> None:
+    def refuse_unread(self, owner: OwnerConnection, line: Line) -> None:
         """Refuses a set-up for which there is no room. Raises LinkLostError if its id is in use."""
         self.counts["no room"] += 1
         try:
@@ -337,7 +279,7 @@
         except UnanswerableError as error:
             raise self.count_unanswerable(error) from None
 
-    def handle_line(self, owner: OwnerLink, line: Line, arrived_at: float) -> LineResult:
+    def handle_line(self, owner: OwnerConnection, line: Line, arrived_at: float) -> LineResult:
         """Handles one line: queues the reply and puts the event. Raises LinkLostError."""
         try:
             result = self.router.handle_line(owner.number, line, anyio.current_time() - arrived_at)
@@ -355,7 +297,7 @@
         self.counts["closed on"] += 1
         return UnanswerableLineError(str(error))
 
-    async def handle_lines(self, owner: OwnerLink) -> None:
+    async def handle_lines(self, owner: OwnerConnection) -> None:
         """Handles lines in the order of their arrival, as fast as the engine takes their events."""
         while True:
             await owner.lines_arrived.wait()
@@ -371,7 +313,7 @@
                     await anyio.sleep(INVALID_LINE_PAUSE)
                 owner.line_handled.set()
 
-    async def wait_until_read(self, owner: OwnerLink) -> None:
+    async def wait_until_read(self, owner: OwnerConnection) -> None:
         """Waits until all is read that a connection has sent, if that is much.
 
         Its client may have closed it since, or taken back what it requested; the set-ups before that would
@@ -388,7 +330,7 @@
                 for line in owner.lines.remove_all_job_requests():
                     self.refuse_unread(owner, line)
 
-    def count_invalid(self, owner: OwnerLink) -> None:
+    def count_invalid(self, owner: OwnerConnection) -> None:
         """Counts an invalid line; raises LinkLostError after too many of them.
 
         Guards against floods of invalid lines, at the cost of their own connection only.
@@ -398,33 +340,6 @@
         if owner.invalid_lines > MAX_INVALID_LINES:
             raise UnanswerableLineError(f"{owner.invalid_lines} invalid messages")
 
-    async def check_timeouts(self) -> None:
-        """Closes connections that send nothing useful, or begin a line that does not end."""
-        while True:
-            await anyio.sleep(CHECK_INTERVAL)
-            now = anyio.current_time()
-            self.send_owed_ends()
-            for owner in list(self.links.values()):
-                owner.partial_line_since = (
-                    (owner.partial_line_since or now) if owner.link.reader.buffer else 0.0
-                )
-                nothing_valid = not owner.has_sent_valid and now - owner.opened_at > FIRST_MESSAGE_TIMEOUT
-                silent = now - owner.received_at > FIRST_MESSAGE_TIMEOUT
-                useless = nothing_valid or silent and not self.recipients.is_owner(owner.number)
-                if useless and self.is_idle(owner):
-                    # Also a client that takes back all its jobs and then stays connected.
-                    await self.close_if_idle(owner, CloseReason.USELESS)
-                elif self.has_stalled_line(owner):
-                    # A late loop may not have read the rest of it yet.
-                    await let_readers_run()
-                    if self.has_stalled_line(owner):
-                        self.disconnect(owner, CloseReason.UNFINISHED_LINE)
-
-    def has_stalled_line(self, owner: OwnerLink) -> bool:
-        """Whether a line has been incomplete for too long."""
-        since = owner.partial_line_since
-        return bool(since) and anyio.current_time() - since > FIRST_MESSAGE_TIMEOUT
-
     async def wait_until_closed(self) -> None:
         """Waits for the sockets of disconnected owners to close, a few loop iterations at most.
 
@@ -435,7 +350,7 @@
                 return
             await anyio.sleep(0)
 
-    async def write(self, owner: OwnerLink) -> None:
+    async def write(self, owner: OwnerConnection) -> None:
         """Writes what is queued. Raises LinkLostError if the owner does not read it in time."""
         while True:
             await owner.wake.wait()
@@ -449,13 +364,17 @@
             if owner.number in self.links:
                 self.count_unread(owner, -len(data))
 
+    def summary(self) -> dict[str, int]:
+        """Counts for the log."""
+        return self.counts | {"shed": self.closes[CloseReason.CROWDED]}
+
     def has_unwritten(self) -> bool:
         """Whether anything is queued or being written."""
-        return any(owner.outbox or owner.writing for owner in self.links.values())
+        return not all(owner.is_written for owner in self.links.values())
 
     def has_unhandled_lines(self) -> bool:
         """Whether lines that were read are not handled yet."""
-        return any(owner.lines or owner.received for owner in self.links.values())
+        return any(owner.has_unhandled_lines for owner in self.links.values())
 
     def has_unserved(self) -> bool:
         """Whether a connection has been accepted that is not served yet."""
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -266,7 +266,7 @@
             self.log.info("connections closed", lines_left_out=left_out, **closes)
             counts = {
                 name.replace(" ", "_"): value
-                for name, value in (self.engine.counts | self.owners.counts | self.ends.summary()).items()
+                for name, value in (self.engine.counts | self.owners.summary() | self.ends.summary()).items()
                 if value
             }
             self.log.info(
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -11,6 +11,7 @@
 from linedeal.net import TcpNet
 from linedeal.net.tcp import RECEIVE_BUFFER_BYTES, pause_reading
 from linedeal.platform import ownerlink, withdrawn
+from linedeal.platform.close_reason import CloseReason
 from linedeal.platform.host_codec import Type
 from linedeal.platform.line_queue import LineQueue
 from linedeal.platform.log import Log
@@ -319,7 +320,7 @@
         assert sum(link.number in owners.links for link in links[:8]) < 8
         assert links[8].number in owners.links
         for link in links:
-            owners.disconnect(link, "the test ends")
+            owners.disconnect(link, CloseReason.SHUTDOWN)
             owners.enqueue(link, bytes(1000))
         assert owners.unread == 0
         for stream in silent:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,6 +17,7 @@
     host_codec,
     host_exchange,
     host_timeouts,
+    owner_timeouts,
     ownerlink,
     reachability,
     service,
@@ -86,8 +87,8 @@
 async def test_client_whose_lines_arrive_in_pieces_keeps_its_connection(tmp_path, log, monkeypatch):
     # Guards against the time limit of an incomplete line counting on from one line to the next: a client on a
     # slow line, or one that sends much to a busy controller, was disconnected in the middle of valid lines.
-    monkeypatch.setattr(ownerlink, "FIRST_MESSAGE_TIMEOUT", 0.6)
-    monkeypatch.setattr(ownerlink, "CHECK_INTERVAL", 0.02)
+    monkeypatch.setattr(owner_timeouts, "FIRST_MESSAGE_TIMEOUT", 0.6)
+    monkeypatch.setattr(owner_timeouts, "CHECK_INTERVAL", 0.02)
     async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
         client = await g.client()
         lines = [setup_line(f"{number:016x}") for number in range(8)]
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -23,6 +23,7 @@
 from linedeal.loop import inbox
 from linedeal.net import Link, TcpNet
 from linedeal.platform import bus, host_timeouts, service
+from linedeal.platform.close_reason import CloseReason
 from linedeal.platform.descriptors import DescriptorBudget
 from linedeal.platform.host_codec import Type
 from linedeal.platform.log import Log
@@ -431,7 +432,7 @@
             emitted = step(now)
             if any(type(effect) is effects.Answer for effect in emitted):
                 for link in list(g.service.owners.links.values()):
-                    g.service.owners.disconnect(link, "closed by the other side")
+                    g.service.owners.disconnect(link, CloseReason.BY_OWNER)
             return emitted
 
         monkeypatch.setattr(g.service.engine, "step", disconnect_after)
@@ -652,7 +653,7 @@
         )
         (link,) = g.service.owners.links.values()
         owner.sendall(setup_line(A))
-        assert not await g.service.owners.close_if_idle(link, "it sends nothing of use")
+        assert not await g.service.owners.timeouts.close_if_idle(link, CloseReason.USELESS)
         await g.wait_until(2, lambda: g.service.router.is_running(A))
 
 
