Close no owner's connection for a crowd of new silent ones

Cause: while owners hold more descriptors than they may, `close_rank` closed silent connections last in their first 0.5 s, after owners'. All connections of a crowd are new, so it closed each idle connection on which jobs run before a single one of the crowd. Change: owners' connections rank last; one whose first message may be on its way (0.05 s) is waited for. Why it works: a connection with running jobs is closed only when no connection without any is left.

--- a/linedeal/platform/owner_timeouts.py
+++ b/linedeal/platform/owner_timeouts.py
@@ -1,6 +1,7 @@
 """Which connections of owners are closed for want of descriptors, or since they send nothing of use."""
 
 from collections.abc import Awaitable, Callable
+from enum import IntEnum
 
 import anyio
 
@@ -11,12 +12,23 @@
 from linedeal.platform.recipients import Recipients
 from linedeal.platform.router import Router
 
-NEW_CONNECTION_GRACE = 0.5  # seconds for which a new connection ranks last among those to be closed
+NEW_CONNECTION_GRACE = 0.5  # seconds for which a new connection ranks after others that show no owner
+FIRST_MESSAGE_DELAY = 0.05  # seconds from the accept to the first message of a client that has one to send
 FIRST_MESSAGE_TIMEOUT = 2.0  # seconds for a valid message on a new connection, and for a started line to end
 CHECK_INTERVAL = 0.25  # seconds between checks of all connections' timeouts
 NO_IDLE_INTERVAL = 0.05  # seconds until it is looked again for a connection that may be closed
 
 
+class Rank(IntEnum):
+    """The order in which kinds of idle connections are closed."""
+
+    SILENT = 0
+    VALID = 1
+    NEW = 2
+    ARRIVING = 3  # its first message may be on its way: waited for rather than closed
+    OWNER = 4
+
+
 class OwnerTimeouts:
     """Closes connections of owners that are not needed, and those that take up descriptors."""
 
@@ -37,14 +49,16 @@
     async def close_idle_when_crowded(self) -> None:
         """Closes idle connections, by `close_rank`, while owners hold more descriptors than they may.
 
-        Guards against connections that use up the descriptors. One with an unanswered job is never closed.
+        Guards against connections that use up the descriptors. One with an unanswered job is never closed,
+        nor one whose first message may be on its way.
         """
         while True:
             await self.descriptors.wait_until_must_close_idle()
             idle = [owner for owner in self.connections.values() if self.is_idle(owner)]
-            if not idle:
+            least_needed = min(idle, key=self.close_rank, default=None)
+            if least_needed is None or self.is_arriving(least_needed):
                 await anyio.sleep(NO_IDLE_INTERVAL)
-            elif await self.close_if_idle(min(idle, key=self.close_rank), CloseReason.CROWDED):
+            elif await self.close_if_idle(least_needed, CloseReason.CROWDED):
                 await self.wait_until_closed()  # its descriptor is in use until the socket is closed
 
     def is_idle(self, owner: OwnerConnection) -> bool:
@@ -58,12 +72,22 @@
     def close_rank(self, owner: OwnerConnection) -> tuple:
         """The order in which idle connections are closed, lowest first.
 
-        First those without a valid message, then those that are not known to be an owner's, then owners',
-        and last new ones; among equals the one that has been silent for longest.
+        First those without a valid message, then those that are not known to be an owner's, then new ones.
+        Owners' come last: the ends of their jobs are told there, and those of a crowd are all new. Among
+        equals the one that has been silent for longest.
         """
-        new = not owner.has_sent_valid and anyio.current_time() - owner.opened_at <= NEW_CONNECTION_GRACE
-        known = int(owner.has_sent_valid) + int(self.recipients.is_owner(owner.number))
-        return 3 if new else known, owner.received_at
+        if self.is_arriving(owner):
+            return Rank.ARRIVING, owner.received_at
+        if self.recipients.is_owner(owner.number):
+            return Rank.OWNER, owner.received_at
+        if owner.has_sent_valid:
+            return Rank.VALID, owner.received_at
+        is_new = anyio.current_time() - owner.opened_at <= NEW_CONNECTION_GRACE
+        return Rank.NEW if is_new else Rank.SILENT, owner.received_at
+
+    def is_arriving(self, owner: OwnerConnection) -> bool:
+        """Whether the first message of a connection may still be on its way."""
+        return not owner.has_sent_valid and anyio.current_time() - owner.opened_at <= FIRST_MESSAGE_DELAY
 
     async def close_if_idle(self, owner: OwnerConnection, reason: CloseReason) -> bool:
         """Closes an idle connection; returns False if it has data in its socket, which is read first.
