Offer the end of a job to whoever may be its owner, if none has shown to be

Cause: an end whose connection has closed waited for a connection with a job that had run for 0.6 s. In a full fleet nearly all set-ups are refused, so the connections that an owner opens show nothing for seconds. Change: while none has shown to be an owner's, an end is offered after 0.4 s to each connection whose set-ups were placed or refused, and to those that come within 8 s; an owner passes over what it does not know, since its own end of a job may always cross ours. A pass has 4096 messages at most. Why it works: whoever can be the owner is told, and a client that is none takes nothing from one.

--- a/linedeal/platform/end_delivery.py
+++ b/linedeal/platform/end_delivery.py
@@ -4,22 +4,29 @@
 over, until its owner has been told of its end or needs not be, it has one `EndDelivery`. `TRANSITIONS` says
 what happens to it; any other pair of state and event changes nothing. The message goes to the connection that
 placed the job or handed it over. If that has closed, it goes to one that has shown to be an owner's, as
-`recipients.py` has it, and waits while there is none.
+`recipients.py` has it. While there is none, it is offered after `OFFER_DELAY` to all that may be owners',
+also to those that come later, until one has shown to be an owner's or `OFFER_TIME` is over: an owner passes
+over a message about a task that it does not have or that is over, since its own end of it may have crossed.
 
 The platform acknowledges no message. One that was written whole counts as delivered; one whose connection was
 lost while it was being written may have arrived, and is not repeated: the id may have a new job by then.
 Times are seconds on the clock of the caller.
 """
 
+import math
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum
+from itertools import islice
 
 from linedeal.platform.recipients import Recipients
 
 MAX_OWED = 4096  # ends that wait for a connection
 MAX_DELIVERY_TIME = 1.0  # seconds from the end of a job until its owner has to be told
+OFFER_DELAY = 0.4  # seconds from the end of a job until connections are told that only may be its owner's
+MAX_OFFERS = 4096  # messages in one pass; each has some 60 bytes
+OFFER_TIME = 8.0  # seconds from the end of a job for which it is offered to connections that come
 
 
 class State(Enum):
@@ -45,6 +52,7 @@
     WRITE_BEGAN = "the connection begins to write what waits on it"
     WRITTEN = "the connection has written that"
     CONNECTION_CLOSED = "the connection has closed"
+    OFFERS_DONE = "those that may be its owner were told, and one has shown to be an owner, or time is up"
     CROWDED_OUT = "there is no room for as many ends that wait"
 
 
@@ -55,6 +63,7 @@
     (State.RELEASED, Event.HOST_END): State.NOT_OWED,
     (State.OWED, Event.ASSIGNED): State.QUEUED,
     (State.OWED, Event.CROWDED_OUT): State.DROPPED,
+    (State.OWED, Event.OFFERS_DONE): State.DELIVERED,
     (State.QUEUED, Event.WRITE_BEGAN): State.WRITING,
     (State.QUEUED, Event.CONNECTION_CLOSED): State.OWED,
     (State.WRITING, Event.WRITTEN): State.DELIVERED,
@@ -62,6 +71,15 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A message for a connection that may be the owner's."""
+
+    task: str
+    connection: int
+    message: bytes
+
+
 @dataclass(slots=True, eq=False)
 class EndDelivery:
     """The end of one job. `connection`: that of the job, and later the one that carries the message."""
@@ -71,6 +89,8 @@
     state: State = State.RUNNING
     message: bytes = b""
     ended_at: float = 0.0
+    told_at: float = math.inf  # when the message was written, or first offered
+    owed_number: int = 0  # its place among all that have waited for a connection
 
     def apply(self, event: Event) -> None:
         """Takes the transition of an event, if the state has one."""
@@ -86,9 +106,12 @@
         self.running: dict[str, EndDelivery] = {}  # by task; also those that their owners have ended
         self.owed: OrderedDict[EndDelivery, None] = OrderedDict()  # the oldest first
         self.carried: dict[int, list[EndDelivery]] = {}  # by connection: queued there, or being written
+        self.owed_count = 0  # of all that have waited so far
+        self.offered_until: dict[int, int] = {}  # by connection: the number of the last one offered to it
         self.counts: Counter[State] = Counter()  # of the final states
         self.late = 0  # deliveries after MAX_DELIVERY_TIME
         self.told_elsewhere = 0  # ends that were queued on another connection than their job's
+        self.told_on_offer = 0  # ends that were only offered
 
     # -- the job
 
@@ -138,7 +161,44 @@
             while self.owed and self.recipients.is_open(connection):
                 delivery, _ = self.owed.popitem(last=False)
                 self.told_elsewhere += 1
-                yield self.assign_to(delivery, connection)
+                if delivery.owed_number <= self.offered_until.get(connection, 0):
+                    self.finish_offered(delivery)
+                else:
+                    yield self.assign_to(delivery, connection)
+
+    def offer(self) -> Iterator[Offer]:
+        """Yields messages for connections that may be owners', MAX_OFFERS at most; call it again and again.
+
+        The ends are offered in the order in which they began to wait, so one number for each connection says
+        which it has been told.
+        """
+        now = self.clock()
+        due = [delivery for delivery in self.owed if now - delivery.ended_at >= OFFER_DELAY]
+        if not due:
+            return
+        yield from islice(self.new_offers(due, now), MAX_OFFERS)
+        for delivery in due:
+            if delivery.told_at < math.inf and now - delivery.ended_at > OFFER_TIME:
+                del self.owed[delivery]
+                self.finish_offered(delivery)
+
+    def new_offers(self, due: list[EndDelivery], now: float) -> Iterator[Offer]:
+        """Yields each of the ends for each connection that may be its owner's and was not told of it yet."""
+        for connection in self.recipients.possible():
+            offered = self.offered_until.get(connection, 0)
+            if offered >= due[-1].owed_number:
+                continue
+            for delivery in due:
+                if delivery.owed_number > offered:
+                    self.offered_until[connection] = delivery.owed_number
+                    delivery.told_at = min(delivery.told_at, now)
+                    yield Offer(delivery.task, connection, delivery.message)
+
+    def finish_offered(self, delivery: EndDelivery) -> None:
+        """Counts an end as told that was offered to whoever may be its owner."""
+        delivery.apply(Event.OFFERS_DONE)
+        self.told_on_offer += 1
+        self.finish(delivery)
 
     def assign_to(self, delivery: EndDelivery, connection: int) -> EndDelivery:
         """Notes that an open connection is to carry the message."""
@@ -149,6 +209,8 @@
 
     def await_connection(self, delivery: EndDelivery) -> None:
         """Keeps an end until a connection is chosen; drops the oldest if too many wait."""
+        self.owed_count += 1
+        delivery.owed_number = self.owed_count
         self.owed[delivery] = None
         if len(self.owed) > self.max_owed:
             oldest, _ = self.owed.popitem(last=False)
@@ -162,10 +224,14 @@
 
     def on_written(self, connection: int) -> None:
         """A connection has written what it began to write."""
+        for delivery in self.carried.get(connection, ()):
+            if delivery.state is State.WRITING:
+                delivery.told_at = self.clock()
         self.advance_carried(connection, Event.WRITTEN)
 
     def on_disconnected(self, connection: int) -> None:
         """A connection has closed: what waited on it goes to another."""
+        self.offered_until.pop(connection, None)
         self.advance_carried(connection, Event.CONNECTION_CLOSED)
 
     def advance_carried(self, connection: int, event: Event) -> None:
@@ -195,6 +261,7 @@
             "running": len(self.running),
             "told": self.counts[State.DELIVERED],
             "told_elsewhere": self.told_elsewhere,
+            "told_on_offer": self.told_on_offer,
             "not_owed": self.counts[State.NOT_OWED],
             "longest_wait": round(self.clock() - oldest.ended_at, 3) if oldest else 0.0,
         }
@@ -202,5 +269,5 @@
     def finish(self, delivery: EndDelivery) -> None:
         """Counts a delivery that is over."""
         self.counts[delivery.state] += 1
-        if delivery.state is State.DELIVERED and self.clock() - delivery.ended_at > MAX_DELIVERY_TIME:
+        if delivery.state is State.DELIVERED and delivery.told_at - delivery.ended_at > MAX_DELIVERY_TIME:
             self.late += 1
--- a/linedeal/platform/owner_timeouts.py
+++ b/linedeal/platform/owner_timeouts.py
@@ -26,7 +26,8 @@
     VALID = 1
     NEW = 2
     ARRIVING = 3  # its first message may be on its way: waited for rather than closed
-    OWNER = 4
+    POSSIBLE_OWNER = 4
+    OWNER = 5
 
 
 class OwnerTimeouts:
@@ -73,13 +74,15 @@
         """The order in which idle connections are closed, lowest first.
 
         First those without a valid message, then those that are not known to be an owner's, then new ones.
-        Owners' come last: the ends of their jobs are told there, and those of a crowd are all new. Among
-        equals the one that has been silent for longest.
+        Those that may be owners' come last: the ends of their jobs are told there, and those of a crowd are
+        all new. Among equals the one that has been silent for longest.
         """
         if self.is_arriving(owner):
             return Rank.ARRIVING, owner.received_at
         if self.recipients.is_owner(owner.number):
             return Rank.OWNER, owner.received_at
+        if self.recipients.may_be_owner(owner.number):
+            return Rank.POSSIBLE_OWNER, owner.received_at
         if owner.has_sent_valid:
             return Rank.VALID, owner.received_at
         is_new = anyio.current_time() - owner.opened_at <= NEW_CONNECTION_GRACE
--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -97,10 +97,12 @@
             self.send_end(delivery)
 
     async def send_owed_ends_regularly(self) -> None:
-        """Sends the ends that wait once a connection has come to show an owner, until cancelled."""
+        """Sends the ends that wait to whoever has come to show an owner, or may be one, until cancelled."""
         while True:
             await anyio.sleep(OWED_ENDS_INTERVAL)
             self.send_owed_ends()
+            for offer in self.ends.offer():
+                self.send(offer.connection, offer.message)
 
     def log_waited(self, delivery: EndDelivery) -> None:
         """Logs an end that is told on another connection than its job's after a noticeable wait."""
--- a/linedeal/platform/recipients.py
+++ b/linedeal/platform/recipients.py
@@ -9,6 +9,8 @@
 - A job that was placed on it and taken back shows nothing: a client may take back all that it requests.
 - A job that it has handed over shows little until the job's host confirms it, since the name of the job may
   be made up.
+- A set-up that was refused shows only that an owner may be there: owners of a full fleet have nothing else to
+  show, and clients that are none are refused as well. So does a job that was placed just now.
 
 Free of I/O; times are seconds on the clock of the caller.
 """
@@ -31,6 +33,12 @@
     placed: dict[str, float] = field(default_factory=dict)  # when each running job was placed, oldest first
     handed_over: set[str] = field(default_factory=set)  # running jobs that it has handed over
     has_kept_job: bool = False  # a job has run until its host ended it
+    was_refused: bool = False  # a set-up was refused, or written off
+
+    @property
+    def may_be_owner(self) -> bool:
+        """Whether an owner may be at the other end, as far as can be told."""
+        return bool(self.has_kept_job or self.was_refused or self.placed or self.handed_over)
 
     def evidence(self, now: float) -> float:
         """The evidence that an owner is at the other end: seconds up to FULL_EVIDENCE_TIME."""
@@ -72,6 +80,11 @@
         if connection in self.histories:
             self.histories[connection].handed_over.add(task)
 
+    def on_refused(self, connection: int) -> None:
+        """Notes that a set-up was refused or written off."""
+        if connection in self.histories:
+            self.histories[connection].was_refused = True
+
     def on_ended(self, connection: int, task: str, confirmed: bool) -> None:
         """Notes that a job has ended without its owner's doing. `confirmed`: its host says so."""
         history = self.histories.get(connection)
@@ -91,6 +104,16 @@
         history = self.histories.get(connection)
         return history is not None and bool(history.placed or history.handed_over or history.has_kept_job)
 
+    def may_be_owner(self, connection: int) -> bool:
+        """Whether a connection may be an owner's: its set-ups have been placed or refused."""
+        history = self.histories.get(connection)
+        return history is not None and history.may_be_owner
+
+    def possible(self) -> list[int]:
+        """The connections that may be owners', the newest first."""
+        newest_first = reversed(self.histories.items())
+        return [connection for connection, history in newest_first if history.may_be_owner]
+
     def running_jobs(self, connection: int) -> int:
         """How many jobs run that a connection has placed or handed over."""
         history = self.histories.get(connection)
--- a/linedeal/platform/router.py
+++ b/linedeal/platform/router.py
@@ -225,6 +225,7 @@
             return 0, b""
         self.remove(task)
         self.ends.discard(task.id)
+        self.ends.recipients.on_refused(task.client)
         return task.client, owner_codec.encode_release(task.id, owner_codec.REFUSED)
 
     def on_answer(self, effect: effects.Answer) -> tuple[int, bytes]:
@@ -238,6 +239,7 @@
             self.ends.recipients.on_placed(task.client, task.id)
             return task.client, owner_codec.encode_answer(task.id, effect.host_reply)
         self.remove(task)
+        self.ends.recipients.on_refused(task.client)
         cause = owner_codec.REFUSED if effect.verdict is effects.Verdict.REJECTED else owner_codec.FAILED
         return task.client, owner_codec.encode_release(task.id, cause)
 
--- a/tests/test_told_ends.py
+++ b/tests/test_told_ends.py
@@ -88,6 +88,39 @@
     return missing
 
 
+@pytest.mark.parametrize("silent", [0.1])
+async def test_end_of_a_job_reaches_an_owner_whose_set_ups_were_all_refused_since(tmp_path, silent):
+    host = RefusingHost()
+    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
+        bus.publish(bus_entry("h", host), full=True)
+        process = await processes.start("n0", bus.address, bus.known(), settings(1))
+        first = await processes.client(process)
+        await place(first, range(1, 4))
+        host.is_full = True
+        second = await processes.client(process)
+        await refuse(second, range(10, 13))
+        await first.stream.aclose()
+        await anyio.sleep(silent)
+        tasks = await host.end_all()
+        assert len(tasks) == 3 and not await wait_until_told([second], tasks)
+
+
+async def test_end_of_a_job_reaches_an_owner_that_connects_after_it_and_is_refused(tmp_path):
+    host = RefusingHost()
+    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
+        bus.publish(bus_entry("h", host), full=True)
+        process = await processes.start("n0", bus.address, bus.known(), settings(1))
+        first = await processes.client(process)
+        await place(first, range(1, 4))
+        host.is_full = True
+        await first.stream.aclose()
+        tasks = await host.end_all()
+        await anyio.sleep(2.0)
+        second = await processes.client(process)
+        await refuse(second, range(10, 11))
+        assert len(tasks) == 3 and not await wait_until_told([second], tasks)
+
+
 async def test_crowd_of_silent_connections_closes_no_connection_with_running_jobs(tmp_path):
     host = RefusingHost()
     async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
