Tell the end of a job again whose message crossed the close of its connection

Cause: the write succeeds, so the end counted as delivered; one whose write was cut was dropped as well. Change: a message that was written counts as delivered once its connection has stayed open for 0.25 s; closed before, the end is told on another connection. The state CUT goes; SENT comes. Why it works: an owner that closed before the message arrived has closed within a round trip of the write.

--- a/linedeal/platform/end_delivery.py
+++ b/linedeal/platform/end_delivery.py
@@ -8,13 +8,14 @@
 also to those that come later, until one has shown to be an owner's or `OFFER_TIME` is over: an owner passes
 over a message about a task that it does not have or that is over, since its own end of it may have crossed.
 
-The platform acknowledges no message. One that was written whole counts as delivered; one whose connection was
-lost while it was being written may have arrived, and is not repeated: the id may have a new job by then.
-Times are seconds on the clock of the caller.
+The platform acknowledges no message. One that was written whole counts as delivered if its connection stays
+open for `CROSSING_TIME` after that: an owner that closes it sooner may have done so before the message
+arrived, and is told again on another. No harm is done if it had arrived: each set-up has a new id. Times are
+seconds on the clock of the caller.
 """
 
 import math
-from collections import Counter, OrderedDict
+from collections import Counter, OrderedDict, deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from enum import Enum
@@ -24,22 +25,23 @@
 
 MAX_OWED = 4096  # ends that wait for a connection
 MAX_DELIVERY_TIME = 1.0  # seconds from the end of a job until its owner has to be told
+CROSSING_TIME = 0.25  # seconds in which a close and a message may cross, with a loop that is late
 OFFER_DELAY = 0.4  # seconds from the end of a job until connections are told that only may be its owner's
 MAX_OFFERS = 4096  # messages in one pass; each has some 60 bytes
 OFFER_TIME = 8.0  # seconds from the end of a job for which it is offered to connections that come
 
 
 class State(Enum):
-    """Where the end of a job is; the last four are final."""
+    """Where the end of a job is; the last three are final."""
 
     RUNNING = "the job runs"
     RELEASED = "the job runs, but its owner has ended it and is told no more"
     OWED = "the job has ended, and no connection carries the message yet"
     QUEUED = "the message waits on a connection"
     WRITING = "the message is being written"
+    SENT = "the message has been written, and may cross a close of its connection"
     DELIVERED = "the message has been written"
     NOT_OWED = "the job has ended, as its owner wanted"
-    CUT = "the connection was lost while the message was being written, which may have arrived"
     DROPPED = "too many ends waited for a connection"
 
 
@@ -52,11 +54,12 @@
     WRITE_BEGAN = "the connection begins to write what waits on it"
     WRITTEN = "the connection has written that"
     CONNECTION_CLOSED = "the connection has closed"
+    NOT_CROSSED = "the connection has stayed open since"
     OFFERS_DONE = "those that may be its owner were told, and one has shown to be an owner, or time is up"
     CROWDED_OUT = "there is no room for as many ends that wait"
 
 
-FINAL = frozenset((State.DELIVERED, State.NOT_OWED, State.CUT, State.DROPPED))
+FINAL = frozenset((State.DELIVERED, State.NOT_OWED, State.DROPPED))
 TRANSITIONS = {
     (State.RUNNING, Event.OWNER_RELEASE): State.RELEASED,
     (State.RUNNING, Event.HOST_END): State.OWED,
@@ -66,8 +69,10 @@
     (State.OWED, Event.OFFERS_DONE): State.DELIVERED,
     (State.QUEUED, Event.WRITE_BEGAN): State.WRITING,
     (State.QUEUED, Event.CONNECTION_CLOSED): State.OWED,
-    (State.WRITING, Event.WRITTEN): State.DELIVERED,
-    (State.WRITING, Event.CONNECTION_CLOSED): State.CUT,
+    (State.WRITING, Event.WRITTEN): State.SENT,
+    (State.WRITING, Event.CONNECTION_CLOSED): State.OWED,
+    (State.SENT, Event.CONNECTION_CLOSED): State.OWED,
+    (State.SENT, Event.NOT_CROSSED): State.DELIVERED,
 }
 
 
@@ -105,10 +110,13 @@
         self.recipients, self.clock, self.max_owed = recipients, clock, max_owed
         self.running: dict[str, EndDelivery] = {}  # by task; also those that their owners have ended
         self.owed: OrderedDict[EndDelivery, None] = OrderedDict()  # the oldest first
-        self.carried: dict[int, list[EndDelivery]] = {}  # by connection: queued there, or being written
+        # By connection: those that are queued there, being written, or were written lately.
+        self.carried: dict[int, dict[EndDelivery, None]] = {}
+        self.sent: deque[EndDelivery] = deque()  # those that were written lately, in that order
         self.owed_count = 0  # of all that have waited so far
         self.offered_until: dict[int, int] = {}  # by connection: the number of the last one offered to it
         self.counts: Counter[State] = Counter()  # of the final states
+        self.cut = 0  # closes of connections that ends may have crossed
         self.late = 0  # deliveries after MAX_DELIVERY_TIME
         self.told_elsewhere = 0  # ends that were queued on another connection than their job's
         self.told_on_offer = 0  # ends that were only offered
@@ -204,7 +212,7 @@
         """Notes that an open connection is to carry the message."""
         delivery.apply(Event.ASSIGNED)
         delivery.connection = connection
-        self.carried.setdefault(connection, []).append(delivery)
+        self.carried.setdefault(connection, {})[delivery] = None
         return delivery
 
     def await_connection(self, delivery: EndDelivery) -> None:
@@ -226,31 +234,36 @@
         """A connection has written what it began to write."""
         for delivery in self.carried.get(connection, ()):
             if delivery.state is State.WRITING:
+                delivery.apply(Event.WRITTEN)
                 delivery.told_at = self.clock()
-        self.advance_carried(connection, Event.WRITTEN)
+                self.sent.append(delivery)
+
+    def settle(self) -> None:
+        """Counts as delivered what was written CROSSING_TIME ago and longer."""
+        until = self.clock() - CROSSING_TIME
+        while self.sent and self.sent[0].told_at <= until:
+            delivery = self.sent.popleft()
+            if delivery.state is not State.SENT:
+                continue  # its connection has closed
+            delivery.apply(Event.NOT_CROSSED)
+            del self.carried[delivery.connection][delivery]
+            self.finish(delivery)
 
     def on_disconnected(self, connection: int) -> None:
         """A connection has closed: what waited on it goes to another."""
         self.offered_until.pop(connection, None)
-        self.advance_carried(connection, Event.CONNECTION_CLOSED)
-
-    def advance_carried(self, connection: int, event: Event) -> None:
-        """Applies an event to all ends that a connection carries, and sorts them by what they are then."""
         for delivery in self.carried.pop(connection, ()):
-            delivery.apply(event)
-            if delivery.state in FINAL:
-                self.finish(delivery)
-            elif delivery.state is State.OWED:
-                self.await_connection(delivery)
-            else:
-                self.carried.setdefault(connection, []).append(delivery)
+            self.cut += delivery.state is not State.QUEUED
+            delivery.apply(Event.CONNECTION_CLOSED)
+            delivery.told_at = math.inf
+            self.await_connection(delivery)
 
     def summary(self) -> dict[str, int]:
         """Counts for the log: what waits, and what did not go as it should."""
         return {
             "ends waiting": len(self.owed),
             "ends late": self.late,
-            "ends cut": self.counts[State.CUT],
+            "ends cut": self.cut,
             "ends dropped": self.counts[State.DROPPED],
         }
 
--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -100,6 +100,7 @@
         """Sends the ends that wait to whoever has come to show an owner, or may be one, until cancelled."""
         while True:
             await anyio.sleep(OWED_ENDS_INTERVAL)
+            self.ends.settle()
             self.send_owed_ends()
             for offer in self.ends.offer():
                 self.send(offer.connection, offer.message)
--- a/tests/test_end_delivery.py
+++ b/tests/test_end_delivery.py
@@ -7,6 +7,7 @@
 
 from linedeal.platform import end_delivery
 from linedeal.platform.end_delivery import (
+    CROSSING_TIME,
     FINAL,
     MAX_DELIVERY_TIME,
     OFFER_DELAY,
@@ -29,7 +30,8 @@
         Event.CROWDED_OUT: State.DROPPED,
     },
     State.QUEUED: {Event.WRITE_BEGAN: State.WRITING, Event.CONNECTION_CLOSED: State.OWED},
-    State.WRITING: {Event.WRITTEN: State.DELIVERED, Event.CONNECTION_CLOSED: State.CUT},
+    State.WRITING: {Event.WRITTEN: State.SENT, Event.CONNECTION_CLOSED: State.OWED},
+    State.SENT: {Event.CONNECTION_CLOSED: State.OWED, Event.NOT_CROSSED: State.DELIVERED},
 }
 PAIRS = list(itertools.product(State, Event))
 
@@ -90,6 +92,10 @@
         self.ends.on_write_began(connection)
         self.ends.on_written(connection)
 
+    def settle(self):
+        self.now += CROSSING_TIME
+        self.ends.settle()
+
 
 @pytest.fixture
 def scene():
@@ -101,8 +107,10 @@
     delivery = scene.end("a")
     assert (delivery.connection, delivery.state, delivery.message) == (2, State.QUEUED, b"end of a")
     scene.write(2)
+    assert delivery.state is State.SENT and not scene.ends.counts
+    scene.settle()
     assert delivery.state is State.DELIVERED and scene.ends.counts == {State.DELIVERED: 1}
-    assert not scene.assigned() and "a" not in scene.ends.running
+    assert not scene.assigned() and "a" not in scene.ends.running and not scene.ends.carried[2]
 
 
 def test_an_end_whose_connection_has_closed_goes_to_another_owners(scene):
@@ -124,6 +132,7 @@
     scene.now += FULL_EVIDENCE_TIME
     assert scene.assigned() == [("a", 3)]
     scene.write(3)
+    scene.settle()
     assert scene.ends.summary() == {"ends waiting": 0, "ends late": 1, "ends cut": 0, "ends dropped": 0}
 
 
@@ -133,6 +142,7 @@
     scene.end("a")
     scene.now += seconds
     scene.write(1)
+    scene.settle()
     assert scene.ends.summary()["ends late"] == late
 
 
@@ -143,16 +153,50 @@
     assert delivery.state is State.OWED and scene.assigned() == [("a", 1)]
 
 
-def test_what_was_being_written_as_its_connection_closed_is_not_repeated(scene):
-    # Guards against a second message under an id that may have a new job by then.
+def test_what_was_being_written_as_its_connection_closed_is_told_on_another(scene):
+    # Guards against an owner that is told nothing: its close and the message may have crossed.
     scene.run("a", 2)
     scene.run("b", 2)
     written = scene.end("a")
     scene.ends.on_write_began(2)
     waiting = scene.end("b")
     scene.close(2)
-    assert (written.state, waiting.state) == (State.CUT, State.OWED)
-    assert scene.assigned() == [("b", 1)] and scene.ends.summary()["ends cut"] == 1
+    assert (written.state, waiting.state) == (State.OWED, State.OWED)
+    assert scene.assigned() == [("a", 1), ("b", 1)] and scene.ends.summary()["ends cut"] == 1
+
+
+def test_what_was_written_just_before_its_connection_closed_is_told_on_another(scene):
+    scene.run("a", 2)
+    delivery = scene.end("a")
+    scene.write(2)
+    scene.now += CROSSING_TIME - 0.01
+    scene.ends.settle()
+    scene.close(2)
+    assert delivery.state is State.OWED and scene.assigned() == [("a", 1)]
+    scene.write(1)
+    scene.settle()
+    assert delivery.state is State.DELIVERED and not scene.ends.sent and not scene.ends.carried[1]
+    assert scene.ends.summary() == {"ends waiting": 0, "ends late": 0, "ends cut": 1, "ends dropped": 0}
+
+
+def test_what_was_written_some_time_before_its_connection_closed_is_not_repeated(scene):
+    scene.run("a", 2)
+    scene.end("a")
+    scene.write(2)
+    scene.settle()
+    scene.close(2)
+    assert not scene.assigned() and scene.ends.counts == {State.DELIVERED: 1}
+
+
+def test_what_crossed_a_close_waits_for_as_long_as_nobody_else_was_told(scene):
+    scene.run("a", 2)
+    delivery = scene.end("a")
+    scene.write(2)
+    scene.close(2)
+    scene.close(1)
+    scene.now += 2 * OFFER_TIME
+    scene.ends.settle()
+    assert not offered(scene) and delivery.state is State.OWED
 
 
 def test_what_is_queued_during_a_write_is_not_written_with_it(scene):
@@ -162,9 +206,10 @@
     scene.ends.on_write_began(2)
     second = scene.end("b")
     scene.ends.on_written(2)
-    assert (first.state, second.state) == (State.DELIVERED, State.QUEUED)
+    assert (first.state, second.state) == (State.SENT, State.QUEUED)
     scene.write(2)
-    assert second.state is State.DELIVERED
+    scene.settle()
+    assert first.state is second.state is State.DELIVERED
 
 
 def test_a_close_leaves_the_ends_on_other_connections_as_they_are(scene):
--- a/tests/test_told_ends.py
+++ b/tests/test_told_ends.py
@@ -1,5 +1,6 @@
 """Owners are told in time that their jobs have ended, though connections close and set-ups are refused."""
 
+import math
 import signal
 import time
 from contextlib import contextmanager
@@ -10,7 +11,7 @@
 from linedeal.net import TcpNet
 from linedeal.platform import owner_codec
 from linedeal.platform.host_codec import Type
-from tests.platform_fixture import Host, release
+from tests.platform_fixture import Host, OwnerClient, release
 from tests.test_terms import bus_entry, run_cluster, settings
 
 pytestmark = pytest.mark.anyio
@@ -140,3 +141,81 @@
         fresh = await processes.client(process)  # an owner that comes during the crowd is served
         host.is_full = False
         await place(fresh, [20])
+
+
+class DelayLine:
+    """Passes bytes between owners and a controller, each of them some time later."""
+
+    def __init__(self, address, delay):
+        self.address, self.delay = address, delay
+
+    async def run(self, *, task_status):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+        async with listener:
+            task_status.started(("127.0.0.1", listener.extra(anyio.abc.SocketAttribute.local_port)))
+            await listener.serve(self.handle)
+
+    async def handle(self, near):
+        far = await TcpNet().connect(self.address)
+        async with anyio.create_task_group() as directions:
+            for source, target in ((near, far), (far, near)):
+                send, receive = anyio.create_memory_object_stream(math.inf)
+                directions.start_soon(self.take, source, send)
+                directions.start_soon(self.pass_on, receive, target)
+
+    async def take(self, source, send):
+        try:
+            while True:
+                data = await source.receive()
+                send.send_nowait((time.monotonic() + self.delay, data))
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            send.send_nowait((time.monotonic() + self.delay, b""))
+
+    async def pass_on(self, receive, target):
+        async for due, data in receive:
+            await anyio.sleep(max(0.0, due - time.monotonic()))
+            try:
+                if not data:
+                    return await target.aclose()
+                await target.send(data)
+            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                pass
+
+
+async def test_end_that_crosses_the_close_of_its_connection_is_told_on_another(tmp_path):
+    host = RefusingHost()
+    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, tasks):
+        bus.publish(bus_entry("h", host), full=True)
+        process = await processes.start("n0", bus.address, bus.known(), settings(1))
+        steady = await processes.client(process)
+        await place(steady, [1])
+        await anyio.sleep(1.0)  # so that it has shown to be an owner's
+        far_address = await tasks.start(DelayLine(process.address, 0.03).run)
+        closing = OwnerClient(await TcpNet().connect(far_address))
+        tasks.start_soon(closing.read)
+        await place(closing, [2, 3])
+        host.running.discard(bytes.fromhex(f"{1:016x}"))
+        ended = await host.end_all()
+        await closing.stream.aclose()  # before it can have arrived there
+        assert len(ended) == 2 and not await wait_until_told([steady, closing], ended)
+
+
+async def test_ends_of_many_closed_connections_that_are_read_after_a_stall_are_told(tmp_path):
+    # The host's releases and the owners' closes are in the sockets when the controller goes on.
+    jobs = 40
+    host = RefusingHost()
+    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
+        bus.publish(bus_entry("h", host), full=True)
+        process = await processes.start("n0", bus.address, bus.known(), settings(1))
+        steady = await processes.client(process)
+        await place(steady, [1000], cores=0.1)
+        owners = [await processes.client(process) for _ in range(jobs)]
+        for number, owner in enumerate(owners, 1):
+            await place(owner, [number], cores=0.1)
+        await anyio.sleep(1.0)
+        host.running.discard(bytes.fromhex(f"{1000:016x}"))
+        with stopped(process):
+            ended = await host.end_all()
+            for owner in owners:
+                await owner.stream.aclose()
+        assert len(ended) == jobs and not await wait_until_told([steady, *owners], ended)
