--- a/benchmarks/end_delivery_mutants.py
+++ b/benchmarks/end_delivery_mutants.py
@@ -44,12 +44,49 @@
     without_transition("OWED", "CROWDED_OUT", "DROPPED"),
     without_transition("QUEUED", "WRITE_BEGAN", "WRITING"),
     without_transition("QUEUED", "CONNECTION_CLOSED", "OWED"),
-    without_transition("WRITING", "WRITTEN", "DELIVERED"),
-    without_transition("WRITING", "CONNECTION_CLOSED", "CUT"),
+    without_transition("OWED", "OFFERS_DONE", "DELIVERED"),
+    without_transition("WRITING", "WRITTEN", "SENT"),
+    without_transition("WRITING", "CONNECTION_CLOSED", "OWED"),
+    without_transition("SENT", "CONNECTION_CLOSED", "OWED"),
+    without_transition("SENT", "NOT_CROSSED", "DELIVERED"),
+    Mutant("what was written counts as delivered at once", "self.clock() - CROSSING_TIME", "self.clock()"),
     Mutant(
-        "what was being written is repeated",
-        "(State.WRITING, Event.CONNECTION_CLOSED): State.CUT",
-        "(State.WRITING, Event.CONNECTION_CLOSED): State.OWED",
+        "what crossed a close counts as told",
+        "            delivery.told_at = math.inf\n            self.await_connection",
+        "            self.await_connection",
+    ),
+    Mutant(
+        "what was sent on a connection that closed is settled",
+        "            if delivery.state is not State.SENT:\n                continue",
+        "            if False:\n                continue",
+    ),
+    Mutant("ends are offered at once", "now - delivery.ended_at >= OFFER_DELAY", "True"),
+    Mutant("ends are offered for ever", "now - delivery.ended_at > OFFER_TIME", "False"),
+    Mutant("ends that nobody was told count as told", "if delivery.told_at < math.inf and now", "if now"),
+    Mutant(
+        "an end is offered again and again",
+        "                    self.offered_until[connection] = delivery.owed_number\n",
+        "",
+    ),
+    Mutant(
+        "only the first ends are offered to a connection",
+        "            if offered >= due[-1].owed_number:\n",
+        "            if offered:\n",
+    ),
+    Mutant(
+        "a pass of offers has no limit",
+        "islice(self.new_offers(due, now), MAX_OFFERS)",
+        "self.new_offers(due, now)",
+    ),
+    Mutant(
+        "an owner is told again of what it was offered",
+        "if delivery.owed_number <= self.offered_until.get(connection, 0):",
+        "if False:",
+    ),
+    Mutant(
+        "offers to closed connections are remembered",
+        "        self.offered_until.pop(connection, None)\n",
+        "",
     ),
     Mutant(
         "an end is assigned to the connection of its job though that has closed",
@@ -66,8 +103,8 @@
     ),
     Mutant(
         "the newest end is assigned first",
-        "popitem(last=False)\n                yield",
-        "popitem()\n                yield",
+        "delivery, _ = self.owed.popitem(last=False)",
+        "delivery, _ = self.owed.popitem()",
     ),
     Mutant(
         "the newest end is dropped",
@@ -78,12 +115,12 @@
     Mutant("a message names its earlier connection", "        delivery.connection = connection\n", ""),
     Mutant(
         "no connection knows what it carries",
-        ".append(delivery)\n        return delivery",
+        "[delivery] = None\n        return delivery",
         "\n        return delivery",
     ),
     Mutant(
-        "what a connection keeps is forgotten",
-        "            else:\n                self.carried.setdefault(connection, []).append(delivery)\n",
+        "what was delivered is kept with its connection",
+        "            del self.carried[delivery.connection][delivery]\n",
         "",
     ),
     Mutant(
