Close no connection on which an answer is not written yet

Cause: a connection counted as idle as soon as its last job was answered, though the answer was only queued; if descriptors ran short in that iteration of the loop, it was closed unwritten. Evidence: the test queues an answer in that moment and finds the connection closed before.

--- a/linedeal/platform/owner_timeouts.py
+++ b/linedeal/platform/owner_timeouts.py
@@ -63,10 +63,11 @@
                 await self.wait_until_closed()  # its descriptor is in use until the socket is closed
 
     def is_idle(self, owner: OwnerConnection) -> bool:
-        """Whether it may be closed: it has no unanswered job and no unhandled line."""
+        """Whether it may be closed: it has no unanswered job, no unhandled line and no unwritten answer."""
         return (
             owner.number not in self.router.unanswered
             and not owner.has_unhandled_lines
+            and owner.is_written
             and owner.number in self.connections
         )
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -22,7 +22,7 @@
 from linedeal.engine.launches import State
 from linedeal.loop import inbox
 from linedeal.net import Link, TcpNet
-from linedeal.platform import bus, host_timeouts, service
+from linedeal.platform import bus, host_timeouts, owner_codec, owner_timeouts, service
 from linedeal.platform.close_reason import CloseReason
 from linedeal.platform.descriptors import DescriptorBudget
 from linedeal.platform.host_codec import Type
@@ -657,6 +657,22 @@
         await g.wait_until(2, lambda: g.service.router.is_running(A))
 
 
+async def test_connection_with_an_answer_that_is_not_written_yet_is_not_closed(tmp_path, log, monkeypatch):
+    # The answer is queued in the moment in which the connection is found to be idle.
+    async with platform_cluster(tmp_path, log, {"h1": Host()}) as g:
+        owner = await g.client()
+        await owner.setup(A)
+        await owner.wait_for("answer", A)
+        (link,) = g.service.owners.links.values()
+
+        async def queue_answer():
+            g.service.owners.send(link.number, owner_codec.encode_release(B, owner_codec.REFUSED))
+
+        monkeypatch.setattr(owner_timeouts, "let_readers_run", queue_answer)
+        assert not await g.service.owners.timeouts.close_if_idle(link, CloseReason.CROWDED)
+        assert await owner.wait_for("release", B)
+
+
 # -- the event bus
 
 
