Tell an end not only to a client that hands over a job of nobody

Cause: a job that was handed over counted as evidence enough to be chosen alone. Change: such a job shows a possible owner, as a refused set-up does, until its host confirms it; possible owners are all told.

--- a/linedeal/platform/recipients.py
+++ b/linedeal/platform/recipients.py
@@ -7,10 +7,10 @@
 - A job that was placed on it and still runs, or has run to its end, shows an owner that waits for that end.
   The evidence grows with the time for which the owner has let the job run.
 - A job that was placed on it and taken back shows nothing: a client may take back all that it requests.
-- A job that it has handed over shows little until the job's host confirms it, since the name of the job may
-  be made up.
-- A set-up that was refused shows only that an owner may be there: owners of a full fleet have nothing else to
-  show, and clients that are none are refused as well. So does a job that was placed just now.
+- A job that it has handed over shows only that an owner may be there until the job's host confirms it, since
+  the name of the job may be made up.
+- A set-up that was refused shows no more: owners of a full fleet have nothing else to show, and clients that
+  are none are refused as well. Nor does a job that was placed just now.
 
 Free of I/O; times are seconds on the clock of the caller.
 """
@@ -22,7 +22,6 @@
 # A job has to run for this long to be evidence. Leaves time within the second in which an end has to be told.
 MIN_KEPT_TIME = 0.6
 FULL_EVIDENCE_TIME = 3.0  # beyond it, the evidence does not grow
-HANDED_OVER_EVIDENCE = 0.0  # that of a job that was handed over, in the same seconds
 NO_EVIDENCE = -math.inf
 
 
@@ -47,7 +46,7 @@
         kept_for = now - next(iter(self.placed.values()), math.inf)
         if kept_for >= MIN_KEPT_TIME:
             return min(kept_for, FULL_EVIDENCE_TIME)
-        return HANDED_OVER_EVIDENCE if self.handed_over else NO_EVIDENCE
+        return NO_EVIDENCE
 
 
 class Recipients:
--- a/tests/test_told_ends.py
+++ b/tests/test_told_ends.py
@@ -122,6 +122,24 @@
         assert len(tasks) == 3 and not await wait_until_told([second], tasks)
 
 
+async def test_end_of_a_job_goes_not_only_to_a_client_that_hands_over_a_job_of_nobody(tmp_path):
+    host = RefusingHost()
+    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
+        bus.publish(bus_entry("h", host), full=True)
+        process = await processes.start("n0", bus.address, bus.known(), settings(1))
+        first = await processes.client(process)
+        await place(first, range(1, 4))
+        host.is_full = True
+        second = await processes.client(process)
+        await refuse(second, range(10, 12))
+        stranger = await processes.client(process)
+        await stranger.setup(f"{99:016x}", at="h")
+        await first.stream.aclose()
+        await anyio.sleep(0.2)
+        tasks = await host.end_all()
+        assert len(tasks) == 3 and not await wait_until_told([second], tasks)
+
+
 async def test_crowd_of_silent_connections_closes_no_connection_with_running_jobs(tmp_path):
     host = RefusingHost()
     async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
