Pass on the ends that wait for a connection before the program ends

Cause: the program ends as soon as no answer is owed and no job runs; an end that waits, or may have crossed a close, belongs to neither.

--- a/linedeal/platform/end_delivery.py
+++ b/linedeal/platform/end_delivery.py
@@ -258,6 +258,10 @@
             delivery.told_at = math.inf
             self.await_connection(delivery)
 
+    def has_untold(self) -> bool:
+        """Whether there is an end of which nobody was told, or that may have crossed a close."""
+        return any(self.carried.values()) or any(delivery.told_at == math.inf for delivery in self.owed)
+
     def summary(self) -> dict[str, int]:
         """Counts for the log: what waits, and what did not go as it should."""
         return {
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -166,7 +166,7 @@
             due = self.engine.next_due()
             if self.shutdown_at <= now:
                 due = min(due, self.shutdown_at + min(step for step in steps if step > since))
-                if self.owners.has_unwritten():
+                if self.owners.has_unwritten() or self.ends.has_untold():
                     due = min(due, now + FLUSH_TIMEOUT)
             await self.stepper.wait(due)
 
@@ -185,7 +185,9 @@
         It waits for every unanswered job, which has its answer by its expiry and would be lost with its
         connection. Running jobs continue at their hosts; their ends are passed on for a limited time.
         """
-        return bool(self.engine.unanswered) or bool(self.router.tasks) and since < MAX_RUNNING_AFTER_SIGTERM
+        if self.engine.unanswered:
+            return True
+        return since < MAX_RUNNING_AFTER_SIGTERM and bool(self.router.tasks or self.ends.has_untold())
 
     def carry_out(self, effect) -> None:
         """Carries out one effect of the engine. Raises TypeError for one that has no handler."""
--- a/tests/test_end_delivery.py
+++ b/tests/test_end_delivery.py
@@ -363,3 +363,20 @@
         if len(assigned) == 1:
             scene.close(delivery.connection)  # it leaves too much unread
     assert assigned == [("a", 1), ("b", 2), ("c", 2), ("a", 2)]
+
+
+def test_an_end_is_untold_until_it_has_arrived_or_was_offered():
+    scene = Scene()
+    assert not scene.ends.has_untold()
+    scene.run("a", 2)
+    scene.end("a")
+    assert scene.ends.has_untold()
+    scene.write(2)
+    assert scene.ends.has_untold()  # it may have crossed a close
+    scene.settle()
+    assert not scene.ends.has_untold()
+    scene = owed_scene()
+    assert scene.ends.has_untold()
+    scene.recipients.on_refused(3)
+    scene.now += OFFER_DELAY
+    assert len(offered(scene)) == 2 and not scene.ends.has_untold()
--- a/tests/test_told_ends.py
+++ b/tests/test_told_ends.py
@@ -11,6 +11,7 @@
 from linedeal.net import TcpNet
 from linedeal.platform import owner_codec
 from linedeal.platform.host_codec import Type
+from linedeal.platform.service import ACCEPT_AFTER_SIGTERM
 from tests.platform_fixture import Host, OwnerClient, release
 from tests.test_terms import bus_entry, run_cluster, settings
 
@@ -140,6 +141,25 @@
         assert len(tasks) == 3 and not await wait_until_told([second], tasks)
 
 
+async def test_end_that_waits_for_a_connection_is_told_before_the_program_ends(tmp_path):
+    host = RefusingHost()
+    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
+        bus.publish(bus_entry("h", host), full=True)
+        process = await processes.start("n0", bus.address, bus.known(), settings(1))
+        first = await processes.client(process)
+        await place(first, range(1, 4))
+        host.is_full = True
+        second = await processes.client(process)
+        await refuse(second, range(10, 12))
+        await first.stream.aclose()
+        process.child.send_signal(signal.SIGTERM)
+        await anyio.sleep(ACCEPT_AFTER_SIGTERM - 0.1)
+        tasks = await host.end_all()
+        assert len(tasks) == 3 and not await wait_until_told([second], tasks)
+        with anyio.fail_after(1.0):
+            await process.ended.wait()  # nothing keeps it any more
+
+
 async def test_crowd_of_silent_connections_closes_no_connection_with_running_jobs(tmp_path):
     host = RefusingHost()
     async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
