Accept no job after SIGTERM that expires after the earliest SIGKILL

Cause: set-ups were accepted for 0.8 s. Evidence: tests/test_shutdown.py, the case 0.78 fails before, the others (0.3 to 0.72) pass. Result: five cases pass twice, told_ends, platform, races pass.

--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -27,7 +27,8 @@
 from linedeal.platform.router import Router
 from linedeal.platform.withdrawn import WithdrawnTasks
 
-ACCEPT_AFTER_SIGTERM = 0.8  # seconds for which jobs are still accepted
+# Seconds for which jobs are still accepted: they expire before the earliest SIGKILL.
+ACCEPT_AFTER_SIGTERM = 0.65
 MAX_RUNNING_AFTER_SIGTERM = 3.4  # seconds for which the ends of running jobs are still passed on
 FLUSH_TIMEOUT = 0.2  # seconds beyond the last expiry, and for the last answers to be written
 MAX_CONNECTIONS_PER_HOST = 4
