--- a/linedeal/platform/owner_timeouts.py
+++ b/linedeal/platform/owner_timeouts.py
@@ -82,7 +82,7 @@
             return Rank.ARRIVING, owner.received_at
         if self.recipients.is_owner(owner.number):
             return Rank.OWNER, owner.received_at
-        if self.recipients.may_be_owner(owner.number):
+        if self.recipients.was_answered(owner.number):
             return Rank.POSSIBLE_OWNER, owner.received_at
         if owner.has_sent_valid:
             return Rank.VALID, owner.received_at
@@ -115,7 +115,7 @@
                 owner.note_partial_line(now)
                 nothing_valid = not owner.has_sent_valid and now - owner.opened_at > FIRST_MESSAGE_TIMEOUT
                 silent = now - owner.received_at > FIRST_MESSAGE_TIMEOUT
-                useless = nothing_valid or silent and not self.recipients.may_be_owner(owner.number)
+                useless = nothing_valid or silent and not self.recipients.was_answered(owner.number)
                 if useless and self.is_idle(owner):
                     # Also a client that takes back all its jobs and then stays connected.
                     await self.close_if_idle(owner, CloseReason.USELESS)
--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -292,7 +292,9 @@
             self.enqueue(owner, result.reply)
         if result.event is not None:
             self.inbox.put(result.event)
-        owner.has_sent_valid = owner.has_sent_valid or bool(result.valid)
+        if result.valid and not owner.has_sent_valid:
+            owner.has_sent_valid = True
+            self.recipients.on_valid_message(owner.number)
         return result
 
     def count_unanswerable(self, error: UnanswerableError) -> LinkLostError:
--- a/linedeal/platform/recipients.py
+++ b/linedeal/platform/recipients.py
@@ -9,8 +9,8 @@
 - A job that was placed on it and taken back shows nothing: a client may take back all that it requests.
 - A job that it has handed over shows only that an owner may be there until the job's host confirms it, since
   the name of the job may be made up.
-- A set-up that was refused shows no more: owners of a full fleet have nothing else to show, and clients that
-  are none are refused as well. Nor does a job that was placed just now.
+- Any other message that the protocol allows shows no more: the set-ups of owners wait and are refused for
+  seconds where the fleet is full, and so are those of clients that are none.
 
 Free of I/O; times are seconds on the clock of the caller.
 """
@@ -33,10 +33,11 @@
     handed_over: set[str] = field(default_factory=set)  # running jobs that it has handed over
     has_kept_job: bool = False  # a job has run until its host ended it
     was_refused: bool = False  # a set-up was refused, or written off
+    may_be_owner: bool = False  # it has sent a message that the protocol allows
 
     @property
-    def may_be_owner(self) -> bool:
-        """Whether an owner may be at the other end, as far as can be told."""
+    def was_answered(self) -> bool:
+        """Whether a set-up was placed or refused, or a job handed over, and not taken back."""
         return bool(self.has_kept_job or self.was_refused or self.placed or self.handed_over)
 
     def evidence(self, now: float) -> float:
@@ -61,6 +62,11 @@
         """Begins the history of a connection."""
         self.histories[connection] = ConnectionHistory()
 
+    def on_valid_message(self, connection: int) -> None:
+        """Notes that a connection has sent a message that the protocol allows."""
+        if connection in self.histories:
+            self.histories[connection].may_be_owner = True
+
     def on_disconnected(self, connection: int) -> None:
         """Drops the history of a connection."""
         self.histories.pop(connection, None)
@@ -103,10 +109,10 @@
         history = self.histories.get(connection)
         return history is not None and bool(history.placed or history.handed_over or history.has_kept_job)
 
-    def may_be_owner(self, connection: int) -> bool:
-        """Whether a connection may be an owner's: its set-ups have been placed or refused."""
+    def was_answered(self, connection: int) -> bool:
+        """Whether set-ups of a connection have been placed or refused, or jobs handed over."""
         history = self.histories.get(connection)
-        return history is not None and history.may_be_owner
+        return history is not None and history.was_answered
 
     def possible(self) -> list[int]:
         """The connections that may be owners', the newest first."""
--- a/tests/test_end_delivery.py
+++ b/tests/test_end_delivery.py
@@ -76,6 +76,7 @@
 
     def run(self, task, connection):
         self.ends.begin(task, connection)
+        self.recipients.on_valid_message(connection)
         self.recipients.on_placed(connection, task)
 
     def close(self, connection):
@@ -279,18 +280,18 @@
     scene = owed_scene()
     scene.now += OFFER_DELAY
     assert not offered(scene)  # it has shown nothing
-    scene.recipients.on_refused(3)
+    scene.recipients.on_valid_message(3)
     scene.recipients.on_connected(4)
     scene.run("c", 4)
     assert offered(scene) == [("a", 4), ("b", 4), ("a", 3), ("b", 3)] and not offered(scene)
     scene.recipients.on_connected(5)
-    scene.recipients.on_refused(5)
+    scene.recipients.on_valid_message(5)
     assert offered(scene) == [("a", 5), ("b", 5)]
 
 
 def test_ends_are_not_offered_before_an_owner_has_had_time_to_show():
     scene = owed_scene()
-    scene.recipients.on_refused(3)
+    scene.recipients.on_valid_message(3)
     scene.now += OFFER_DELAY - 0.01
     assert not offered(scene)
 
@@ -306,7 +307,7 @@
 
     scene = owed_scene()
     scene.now += OFFER_DELAY
-    scene.recipients.on_refused(3)
+    scene.recipients.on_valid_message(3)
     assert len(offered(scene)) == 2
     scene.recipients.on_connected(4)
     scene.run("c", 4)
@@ -316,7 +317,7 @@
 
 def test_ends_that_were_offered_count_as_told_after_some_time():
     scene = owed_scene()
-    scene.recipients.on_refused(3)
+    scene.recipients.on_valid_message(3)
     scene.now += MAX_DELIVERY_TIME + 0.01
     assert len(offered(scene)) == 2
     scene.now += OFFER_TIME
@@ -328,7 +329,7 @@
     scene = owed_scene()
     scene.now += 2 * OFFER_TIME
     assert not offered(scene) and len(scene.ends.owed) == 2
-    scene.recipients.on_refused(3)
+    scene.recipients.on_valid_message(3)
     assert len(offered(scene)) == 2
 
 
@@ -338,7 +339,7 @@
     scene = owed_scene()
     for connection in (3, 4):
         scene.recipients.on_connected(connection)
-        scene.recipients.on_refused(connection)
+        scene.recipients.on_valid_message(connection)
     scene.now += OFFER_DELAY
     assert offered(scene) == [("a", 4), ("b", 4), ("a", 3)]
     assert offered(scene) == [("b", 3)] and not offered(scene)
@@ -346,7 +347,7 @@
 
 def test_what_was_offered_to_a_connection_that_has_closed_leaves_nothing_behind():
     scene = owed_scene()
-    scene.recipients.on_refused(3)
+    scene.recipients.on_valid_message(3)
     scene.now += OFFER_DELAY
     assert len(offered(scene)) == 2
     scene.close(3)
@@ -377,6 +378,6 @@
     assert not scene.ends.has_untold()
     scene = owed_scene()
     assert scene.ends.has_untold()
-    scene.recipients.on_refused(3)
+    scene.recipients.on_valid_message(3)
     scene.now += OFFER_DELAY
     assert len(offered(scene)) == 2 and not scene.ends.has_untold()
--- a/tests/test_recipients.py
+++ b/tests/test_recipients.py
@@ -70,8 +70,10 @@
 
 def test_handed_over_job_shows_only_a_possible_owner_until_its_host_confirms_it(scene):
     # Guards against telling nobody but a client that made the job up.
+    scene.recipients.on_valid_message(2)
     scene.recipients.on_handed_over(2, "b")
     assert scene.choice_after(60.0) == NOBODY and scene.recipients.possible() == [2]
+    scene.recipients.on_valid_message(1)
     scene.recipients.on_placed(1, "a")
     assert scene.choice_after(MIN_KEPT_TIME + 0.01) == 1 and scene.recipients.possible() == [2, 1]
     scene.recipients.on_ended(2, "b", confirmed=True)
@@ -85,11 +87,13 @@
     assert scene.choice_after(60.0) == NOBODY and not scene.recipients.is_owner(2)
 
 
-def test_refused_set_ups_show_a_possible_owner_that_is_not_chosen(scene):
-    scene.recipients.on_refused(3)
+def test_valid_messages_show_a_possible_owner_that_is_not_chosen(scene):
+    scene.recipients.on_valid_message(3)
+    scene.recipients.on_valid_message(1)
     scene.recipients.on_refused(1)
     assert scene.choice_after(60.0) == NOBODY and scene.recipients.possible() == [3, 1]
-    assert not scene.recipients.is_owner(1) and not scene.recipients.may_be_owner(2)
+    assert not scene.recipients.is_owner(1) and scene.recipients.was_answered(1)
+    assert not scene.recipients.was_answered(3)
 
 
 def test_connection_that_has_ended_is_not_chosen_and_leaves_nothing_behind(scene):
--- a/tests/test_told_ends.py
+++ b/tests/test_told_ends.py
@@ -141,6 +141,33 @@
         assert len(tasks) == 3 and not await wait_until_told([second], tasks)
 
 
+async def send_waiting(owner):
+    """A set-up that gets no answer for some seconds, since the fleet is full."""
+    await owner.setup(f"{50:016x}", left="6000")
+
+
+async def send_ping(owner):
+    """A test, which is answered at once."""
+    await owner.send("ping", f"{51:016x}", cause=0)
+
+
+@pytest.mark.parametrize("begin", [send_waiting, send_ping])
+async def test_end_of_a_job_reaches_an_owner_that_has_no_answer_yet(tmp_path, begin):
+    host = RefusingHost()
+    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
+        bus.publish(bus_entry("h", host), full=True)
+        process = await processes.start("n0", bus.address, bus.known(), settings(1))
+        first = await processes.client(process)
+        await place(first, range(1, 4))
+        host.is_full = True
+        second = await processes.client(process)
+        await begin(second)
+        await first.stream.aclose()
+        await anyio.sleep(0.1)
+        tasks = await host.end_all()
+        assert len(tasks) == 3 and not await wait_until_told([second], tasks)
+
+
 async def test_end_that_waits_for_a_connection_is_told_before_the_program_ends(tmp_path):
     host = RefusingHost()
     async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
