Offer no end to a client whose only messages are about jobs that no host confirmed

Change: messages about running jobs show nothing by themselves; a job that is handed over counts while it runs at a known host.

--- a/linedeal/platform/ownerlink.py
+++ b/linedeal/platform/ownerlink.py
@@ -292,9 +292,10 @@
             self.enqueue(owner, result.reply)
         if result.event is not None:
             self.inbox.put(result.event)
-        if result.valid and not owner.has_sent_valid:
+        if result.valid:
             owner.has_sent_valid = True
-            self.recipients.on_valid_message(owner.number)
+            if not self.recipients.may_be_owner(owner.number) and not self.router.outlives_connection(line):
+                self.recipients.on_valid_message(owner.number)
         return result
 
     def count_unanswerable(self, error: UnanswerableError) -> LinkLostError:
--- a/linedeal/platform/recipients.py
+++ b/linedeal/platform/recipients.py
@@ -9,7 +9,7 @@
 - A job that was placed on it and taken back shows nothing: a client may take back all that it requests.
 - A job that it has handed over shows only that an owner may be there until the job's host confirms it, since
   the name of the job may be made up.
-- Any other message that the protocol allows shows no more: the set-ups of owners wait and are refused for
+- A set-up of a job to be placed, or a test, shows no more: the set-ups of owners wait and are refused for
   seconds where the fleet is full, and so are those of clients that are none.
 
 Free of I/O; times are seconds on the clock of the caller.
@@ -33,7 +33,12 @@
     handed_over: set[str] = field(default_factory=set)  # running jobs that it has handed over
     has_kept_job: bool = False  # a job has run until its host ended it
     was_refused: bool = False  # a set-up was refused, or written off
-    may_be_owner: bool = False  # it has sent a message that the protocol allows
+    has_sent_valid: bool = False  # a message that the protocol allows, and not about a running job
+
+    @property
+    def may_be_owner(self) -> bool:
+        """Whether an owner may be at the other end, as far as can be told."""
+        return bool(self.has_sent_valid or self.handed_over or self.has_kept_job)
 
     @property
     def was_answered(self) -> bool:
@@ -63,9 +68,9 @@
         self.histories[connection] = ConnectionHistory()
 
     def on_valid_message(self, connection: int) -> None:
-        """Notes that a connection has sent a message that the protocol allows."""
+        """Notes a message that the protocol allows, and that is not about a running job."""
         if connection in self.histories:
-            self.histories[connection].may_be_owner = True
+            self.histories[connection].has_sent_valid = True
 
     def on_disconnected(self, connection: int) -> None:
         """Drops the history of a connection."""
@@ -109,6 +114,11 @@
         history = self.histories.get(connection)
         return history is not None and bool(history.placed or history.handed_over or history.has_kept_job)
 
+    def may_be_owner(self, connection: int) -> bool:
+        """Whether an owner may be at the other end of a connection."""
+        history = self.histories.get(connection)
+        return history is not None and history.may_be_owner
+
     def was_answered(self, connection: int) -> bool:
         """Whether set-ups of a connection have been placed or refused, or jobs handed over."""
         history = self.histories.get(connection)
