Take the ages of hosts from a clock that steps of the wall clock do not move

Cause: `started_ms` became an age by the wall clock of the moment. Change: Unix time is read once at the start and counted on by the monotonic clock. Open: a clock that is wrong at the start stays wrong for the run.

--- a/linedeal/platform/bus.py
+++ b/linedeal/platform/bus.py
@@ -3,7 +3,6 @@
 `Feed` puts the events in order and is free of I/O; `BusPoller` is the task that reads them.
 """
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from random import Random
@@ -162,7 +161,7 @@
         inbox: Inbox,
         random: Random,
         log,
-        clock: Callable[[], float] = time.time,
+        clock: Callable[[], float],
     ):
         """`clock`: returns Unix time in seconds, against which hosts' start times are converted to ages."""
         self.address, self.feed, self.net, self.inbox, self.log, self.clock = (
--- a/linedeal/platform/service.py
+++ b/linedeal/platform/service.py
@@ -2,7 +2,6 @@
 
 import itertools
 import signal
-import time
 from pathlib import Path
 from random import Random
 
@@ -25,6 +24,7 @@
 from linedeal.platform.recipients import Recipients
 from linedeal.platform.request_budget import RequestBudget
 from linedeal.platform.router import Router
+from linedeal.platform.unix_clock import UnixClock
 from linedeal.platform.withdrawn import WithdrawnTasks
 
 # Seconds for which jobs are still accepted: they expire before the earliest SIGKILL.
@@ -45,6 +45,7 @@
         self.hosts: dict[str, HostLink] = {}
         self.shutdown_at = float("inf")  # loop time of the first SIGTERM
         self.limited_log = LimitedLog(self.log, MAX_LINES_PER_EVENT)
+        self.unix_clock = UnixClock()
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Runs until shut down by SIGTERM or SIGINT; reports the address that it listens on."""
@@ -84,7 +85,9 @@
             self.limited_log,
         )
         self.feed = Feed()
-        self.bus = BusPoller(setup.bus, self.feed, self.net, self.inbox, Random(setup.seed + 2), self.log)
+        self.bus = BusPoller(
+            setup.bus, self.feed, self.net, self.inbox, Random(setup.seed + 2), self.log, self.unix_clock
+        )
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
             async with anyio.create_task_group() as self.tasks:
                 self.tasks.start_soon(self.handle_signals, signals)
@@ -110,7 +113,7 @@
     def load_known_hosts(self) -> None:
         """Passes the engine the hosts of the configuration file, so that it can start without the bus."""
         try:
-            for event in self.feed.accept(self.setup.known, time.time()):
+            for event in self.feed.accept(self.setup.known, self.unix_clock()):
                 self.engine.put(event)
         except BusProtocolError as error:
             self.log.warning("known hosts rejected", reason=str(error))
--- a/tests/platform_processes.py
+++ b/tests/platform_processes.py
@@ -60,7 +60,16 @@
         self.tasks, self.folder, self.all = tasks, folder, []
 
     async def start(
-        self, name, bus, known, setup=SETUP, sockets=256, memory_mb=64, max_files=None, cores=None
+        self,
+        name,
+        bus,
+        known,
+        setup=SETUP,
+        sockets=256,
+        memory_mb=64,
+        max_files=None,
+        cores=None,
+        environment=None,
     ):
         path = self.folder / f"{name}.{len(self.all)}.json"
         path.write_text(
@@ -83,7 +92,7 @@
             program,
             stdin=subprocess.DEVNULL,
             stdout=subprocess.DEVNULL,
-            env=os.environ | {"EDGE_CONFIG": str(path)},
+            env=os.environ | {"EDGE_CONFIG": str(path)} | (environment or {}),
         )
         process = Process(child)
         self.all.append(process)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -706,7 +706,8 @@
 
 async def test_reconnects_to_the_bus_are_spread_in_time():
     polls = [
-        bus.BusPoller(("127.0.0.1", 1), bus.Feed(), None, None, Random(seed), None) for seed in range(30)
+        bus.BusPoller(("127.0.0.1", 1), bus.Feed(), None, None, Random(seed), None, None)
+        for seed in range(30)
     ]
     for poll in polls:
         poll.failures = 3
