Take no want of resources of this machine for a sign of a host

Cause: every failed attempt to connect counted as unanswered. Evidence: on a mock clock 20 s of EMFILE, ENFILE, ENOBUFS, ENOMEM or EADDRNOTAVAIL lose the jobs before, five of five; ETIMEDOUT, EHOSTUNREACH, ENETUNREACH, ECONNREFUSED lose them before and after, as they have to. Change: the five errors count as an attempt that was not made.

--- a/linedeal/net/base.py
+++ b/linedeal/net/base.py
@@ -1,5 +1,6 @@
 """The interface between the program and the network, and links: whole messages over one byte stream."""
 
+import errno
 import math
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Protocol
@@ -98,6 +99,10 @@
 CONNECTION_ERRORS = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
+# Errors of `socket` and `connect` that say nothing of the peer.
+LOCAL_SHORTAGES = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
+
+
 class Link:
     """Whole messages over one stream, decoded by `reader`. One task may read while another writes."""
 
@@ -216,6 +221,11 @@
     return getattr(cause, "strerror", None) or type(cause).__name__
 
 
+def is_local_shortage(error: Exception) -> bool:
+    """Whether a connection could not be opened since this machine or process has run out of something."""
+    return getattr(error.__cause__ or error, "errno", None) in LOCAL_SHORTAGES
+
+
 def parse_address(text: str) -> Address:
     """Parses `HOST:PORT`. Raises ValueError with the reason.
 
--- a/linedeal/platform/host_connector.py
+++ b/linedeal/platform/host_connector.py
@@ -3,7 +3,7 @@
 import anyio
 
 from linedeal.net import Net, Stream, connect_within, parse_address
-from linedeal.net.base import CONNECTION_ERRORS, describe_error
+from linedeal.net.base import CONNECTION_ERRORS, describe_error, is_local_shortage
 from linedeal.platform.host_state import HostState
 
 RETRY_DELAY = 0.2  # seconds between attempts to connect to a host that runs jobs
@@ -13,7 +13,10 @@
     """No connection could be opened; the message has the reason."""
 
     def __init__(self, reason: str, began_at: float | None = None, refused: bool = False):
-        """`began_at`: when the attempt began; None if none was made. `refused`: by the host's system."""
+        """`began_at`: when the attempt began; None if none was made, or it failed for want of something here.
+
+        `refused`: by the host's system.
+        """
         super().__init__(reason)
         self.began_at, self.refused = began_at, refused
 
@@ -43,6 +46,9 @@
         except ValueError as error:
             raise ConnectFailedError(str(error), began_at) from None
         except CONNECTION_ERRORS as error:
+            if is_local_shortage(error):
+                host.reachability.on_request_failed_here(began_at)
+                raise ConnectFailedError(describe_error(error)) from None
             refused = isinstance(error.__cause__ or error, ConnectionRefusedError)
             raise ConnectFailedError(describe_error(error), began_at, refused) from None
         finally:
--- a/linedeal/platform/reachability.py
+++ b/linedeal/platform/reachability.py
@@ -50,6 +50,11 @@
         """Notes a ping or the beginning of an attempt to connect, which a reachable host answers at once."""
         self.unanswered_since = min(self.unanswered_since, now)
 
+    def on_request_failed_here(self, began_at: float) -> None:
+        """Notes that the request that began then has never been sent, so that no reply is due to it."""
+        if self.unanswered_since == began_at:
+            self.unanswered_since = math.inf
+
     def on_attempt_failed(self, refused: bool) -> None:
         """Notes that a connection could not be opened. `refused`: the host's system has refused it."""
         self.failed_attempts += 1
--- a/tests/test_reachability.py
+++ b/tests/test_reachability.py
@@ -1,5 +1,7 @@
 """A link of the platform's route on a mock clock: what it concludes when its host falls silent."""
 
+import errno
+import os
 from functools import partial
 
 import anyio
@@ -295,6 +297,49 @@
     play(scenario)
 
 
+class FailingConnects(SimulatedHost):
+    """A host to which no connection can be opened while `error` is set."""
+
+    error = None
+
+    async def connect(self, address):
+        if self.error is not None:
+            raise OSError(self.error, os.strerror(self.error))
+        return await super().connect(address)
+
+
+def lost_while_connects_fail(error):
+    """Whether jobs count as lost after 20 s in which no connection opens; then one has to open again."""
+    lost = []
+
+    async def scenario(under_test):
+        under_test.adopt(1, TASK)
+        await anyio.sleep(1.0)
+        under_test.host.error = error
+        for stream in list(under_test.host.streams):
+            await stream.aclose()
+        await anyio.sleep(20.0)
+        lost.extend(under_test.times_of(events.HostLost))
+        under_test.host.error = None
+        await anyio.sleep(1.0)
+        if not lost:
+            assert len(under_test.link.connections) == 1
+
+    play(scenario, host_type=FailingConnects)
+    return bool(lost)
+
+
+@pytest.mark.parametrize("error", ["EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EADDRNOTAVAIL"])
+def test_jobs_are_not_lost_while_this_machine_has_no_resources_to_connect(error):
+    # Guards against taking what is short here for a sign of the host.
+    assert not lost_while_connects_fail(getattr(errno, error))
+
+
+@pytest.mark.parametrize("error", ["ETIMEDOUT", "EHOSTUNREACH", "ENETUNREACH", "ECONNREFUSED"])
+def test_jobs_are_lost_if_the_host_cannot_be_reached_for_long(error):
+    assert lost_while_connects_fail(getattr(errno, error))
+
+
 @pytest.mark.parametrize("start", [step * 0.001 for step in range(100)])
 def test_link_connects_again_though_its_timer_fires_a_rounding_error_early(start, monkeypatch):
     # Guards against a retry whose time is compared with a clock of whole milliseconds and which is then never
