Let the test of a set-up that crosses a close close its connection

Change: it disconnects the link in the moment in which the line arrives; the assertions are as they were. Result: passes.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -22,6 +22,7 @@
     reachability,
     service,
 )
+from linedeal.platform.close_reason import CloseReason
 from linedeal.platform.host_codec import Code, Type
 from linedeal.platform.log import Log
 from tests.platform_fixture import (
@@ -795,7 +796,7 @@
         feed = link.link.reader.feed
 
         def crossed(data):
-            link.let_go("it sends nothing of use")  # in the same moment as its line arrives
+            g.service.owners.disconnect(link, CloseReason.USELESS)  # in the same moment as its line arrives
             return feed(data)
 
         link.link.reader.feed = crossed
