--- a/tests/test_told_ends.py
+++ b/tests/test_told_ends.py
@@ -3,7 +3,8 @@
 import math
 import signal
 import time
-from contextlib import contextmanager
+from contextlib import asynccontextmanager, contextmanager
+from functools import partial
 
 import anyio
 import pytest
@@ -47,6 +48,24 @@
         return [task.hex() for task in ended]
 
 
+@asynccontextmanager
+async def one_host(tmp_path, **limits):
+    """Runs a controller as a process and one host; yields both, what connects an owner, and the tasks."""
+    host = RefusingHost()
+    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, tasks):
+        bus.publish(bus_entry("h", host), full=True)
+        process = await processes.start("n0", bus.address, bus.known(), settings(1), **limits)
+        yield host, process, partial(processes.client, process), tasks
+
+
+async def owners_of_a_full_host(host, connect):
+    """An owner with three running jobs at a host that is full now, and another connection of it."""
+    first = await connect()
+    await place(first, range(1, 4))
+    host.is_full = True
+    return first, await connect()
+
+
 async def place(owner, numbers, **fields):
     """Places jobs; returns their tasks."""
     tasks = [f"{number:016x}" for number in numbers]
@@ -92,14 +111,8 @@
 
 @pytest.mark.parametrize("silent", [0.1, CLOSED_IDLE_AFTER - 0.3])
 async def test_end_of_a_job_reaches_an_owner_whose_set_ups_were_all_refused_since(tmp_path, silent):
-    host = RefusingHost()
-    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
-        bus.publish(bus_entry("h", host), full=True)
-        process = await processes.start("n0", bus.address, bus.known(), settings(1))
-        first = await processes.client(process)
-        await place(first, range(1, 4))
-        host.is_full = True
-        second = await processes.client(process)
+    async with one_host(tmp_path) as (host, process, connect, _):
+        first, second = await owners_of_a_full_host(host, connect)
         await refuse(second, range(10, 13))
         await first.stream.aclose()
         await anyio.sleep(silent)
@@ -108,32 +121,23 @@
 
 
 async def test_end_of_a_job_reaches_an_owner_that_connects_after_it_and_is_refused(tmp_path):
-    host = RefusingHost()
-    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
-        bus.publish(bus_entry("h", host), full=True)
-        process = await processes.start("n0", bus.address, bus.known(), settings(1))
-        first = await processes.client(process)
+    async with one_host(tmp_path) as (host, process, connect, _):
+        first = await connect()
         await place(first, range(1, 4))
         host.is_full = True
         await first.stream.aclose()
         tasks = await host.end_all()
         await anyio.sleep(2.0)
-        second = await processes.client(process)
+        second = await connect()
         await refuse(second, range(10, 11))
         assert len(tasks) == 3 and not await wait_until_told([second], tasks)
 
 
 async def test_end_of_a_job_goes_not_only_to_a_client_that_hands_over_a_job_of_nobody(tmp_path):
-    host = RefusingHost()
-    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
-        bus.publish(bus_entry("h", host), full=True)
-        process = await processes.start("n0", bus.address, bus.known(), settings(1))
-        first = await processes.client(process)
-        await place(first, range(1, 4))
-        host.is_full = True
-        second = await processes.client(process)
+    async with one_host(tmp_path) as (host, process, connect, _):
+        first, second = await owners_of_a_full_host(host, connect)
         await refuse(second, range(10, 12))
-        stranger = await processes.client(process)
+        stranger = await connect()
         await stranger.setup(f"{99:016x}", at="h")
         await first.stream.aclose()
         await anyio.sleep(0.2)
@@ -153,14 +157,8 @@
 
 @pytest.mark.parametrize("begin", [send_waiting, send_ping])
 async def test_end_of_a_job_reaches_an_owner_that_has_no_answer_yet(tmp_path, begin):
-    host = RefusingHost()
-    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
-        bus.publish(bus_entry("h", host), full=True)
-        process = await processes.start("n0", bus.address, bus.known(), settings(1))
-        first = await processes.client(process)
-        await place(first, range(1, 4))
-        host.is_full = True
-        second = await processes.client(process)
+    async with one_host(tmp_path) as (host, process, connect, _):
+        first, second = await owners_of_a_full_host(host, connect)
         await begin(second)
         await first.stream.aclose()
         await anyio.sleep(0.1)
@@ -169,14 +167,8 @@
 
 
 async def test_end_that_waits_for_a_connection_is_told_before_the_program_ends(tmp_path):
-    host = RefusingHost()
-    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
-        bus.publish(bus_entry("h", host), full=True)
-        process = await processes.start("n0", bus.address, bus.known(), settings(1))
-        first = await processes.client(process)
-        await place(first, range(1, 4))
-        host.is_full = True
-        second = await processes.client(process)
+    async with one_host(tmp_path) as (host, process, connect, _):
+        first, second = await owners_of_a_full_host(host, connect)
         await refuse(second, range(10, 12))
         await first.stream.aclose()
         process.child.send_signal(signal.SIGTERM)
@@ -188,11 +180,8 @@
 
 
 async def test_crowd_of_silent_connections_closes_no_connection_with_running_jobs(tmp_path):
-    host = RefusingHost()
-    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
-        bus.publish(bus_entry("h", host), full=True)
-        process = await processes.start("n0", bus.address, bus.known(), settings(1), sockets=128)
-        owners = [await processes.client(process) for _ in range(5)]
+    async with one_host(tmp_path, sockets=128) as (host, process, connect, _):
+        owners = [await connect() for _ in range(5)]
         for number, owner in enumerate(owners, 1):
             await place(owner, [number])
         host.is_full = True
@@ -203,7 +192,7 @@
         assert not any(owner.closed.is_set() for owner in owners)
         tasks = await host.end_all()
         assert len(tasks) == 5 and not await wait_until_told(owners, tasks)
-        fresh = await processes.client(process)  # an owner that comes during the crowd is served
+        fresh = await connect()  # an owner that comes during the crowd is served
         host.is_full = False
         await place(fresh, [20])
 
@@ -248,11 +237,8 @@
 
 
 async def test_end_that_crosses_the_close_of_its_connection_is_told_on_another(tmp_path):
-    host = RefusingHost()
-    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, tasks):
-        bus.publish(bus_entry("h", host), full=True)
-        process = await processes.start("n0", bus.address, bus.known(), settings(1))
-        steady = await processes.client(process)
+    async with one_host(tmp_path) as (host, process, connect, tasks):
+        steady = await connect()
         await place(steady, [1])
         await anyio.sleep(1.0)  # so that it has shown to be an owner's
         far_address = await tasks.start(DelayLine(process.address, 0.03).run)
@@ -268,13 +254,10 @@
 async def test_ends_of_many_closed_connections_that_are_read_after_a_stall_are_told(tmp_path):
     # The host's releases and the owners' closes are in the sockets when the controller goes on.
     jobs = 40
-    host = RefusingHost()
-    async with run_cluster(tmp_path, {"h": host}) as (bus, processes, _):
-        bus.publish(bus_entry("h", host), full=True)
-        process = await processes.start("n0", bus.address, bus.known(), settings(1))
-        steady = await processes.client(process)
+    async with one_host(tmp_path) as (host, process, connect, _):
+        steady = await connect()
         await place(steady, [1000], cores=0.1)
-        owners = [await processes.client(process) for _ in range(jobs)]
+        owners = [await connect() for _ in range(jobs)]
         for number, owner in enumerate(owners, 1):
             await place(owner, [number], cores=0.1)
         await anyio.sleep(1.0)
