--- a/linedeal/platform/end_delivery.py
+++ b/linedeal/platform/end_delivery.py
@@ -186,7 +186,8 @@
             return
         yield from islice(self.new_offers(due, now), MAX_OFFERS)
         for delivery in due:
-            if delivery.told_at < math.inf and now - delivery.ended_at > OFFER_TIME:
+            is_over = delivery.told_at < math.inf and now - delivery.ended_at > OFFER_TIME
+            if is_over and delivery in self.owed:  # it may have been dropped meanwhile
                 del self.owed[delivery]
                 self.finish_offered(delivery)
 
@@ -197,6 +198,8 @@
             if offered >= due[-1].owed_number:
                 continue
             for delivery in due:
+                if not self.recipients.is_open(connection):
+                    break  # it has closed meanwhile
                 if delivery.owed_number > offered:
                     self.offered_until[connection] = delivery.owed_number
                     delivery.told_at = min(delivery.told_at, now)
--- a/tests/test_end_delivery.py
+++ b/tests/test_end_delivery.py
@@ -345,6 +345,32 @@
     assert offered(scene) == [("b", 3)] and not offered(scene)
 
 
+def test_offers_end_with_a_connection_that_closes_meanwhile():
+    # Guards against a connection that is closed since it leaves too much unread, as it is told of an end.
+    scene = Scene(max_owed=2)
+    for task in "abc":
+        scene.run(task, 2)
+    scene.close(1)
+    scene.close(2)
+    scene.recipients.on_connected(3)
+    scene.run("c", 3)
+    scene.end("c")
+    for task in "ab":
+        scene.end(task)
+    scene.recipients.on_connected(4)
+    scene.recipients.on_valid_message(4)
+    scene.now += OFFER_TIME + 1.0
+    told = []
+    for offer in scene.ends.offer():
+        told.append((offer.task, offer.connection))
+        if len(told) == 1:
+            scene.close(4)
+            scene.close(3)  # the end that it carried waits as well, and the oldest is dropped
+    assert told == [("a", 4)] and not scene.ends.offered_until
+    assert [delivery.task for delivery in scene.ends.owed] == ["b", "c"]
+    assert scene.ends.counts == {State.DROPPED: 1}
+
+
 def test_what_was_offered_to_a_connection_that_has_closed_leaves_nothing_behind():
     scene = owed_scene()
     scene.recipients.on_valid_message(3)
